--- /dev/null
+++ b/src/core/document/route_table_test.ts
@@ -0,0 +1,56 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  sampleDocument,
+  sampleRoute,
+  sampleService,
+} from "../../testing/samples.ts";
+import { findProblems } from "./document.ts";
+import { RouteTable } from "./route_table.ts";
+
+const table = new RouteTable([
+  sampleRoute({ id: "all", pathPrefix: "/" }),
+  sampleRoute({ id: "stock", pathPrefix: "/stock/" }),
+  sampleRoute({ id: "drums", pathPrefix: "/stock/drums/" }),
+  sampleRoute({ id: "other", host: "other.example", pathPrefix: "/stock/" }),
+]);
+
+// Guards against a shorter prefix, another host's route, or a prefix that
+// matches within a path segment.
+test("the longest prefix of the host decides", () => {
+  const cases: [string, string, string | undefined][] = [
+    ["stock.example", "/stock/drums/7", "drums"],
+    ["STOCK.example:8080", "/stock/drums/", "drums"],
+    ["stock.example", "/stock/drum", "stock"],
+    ["stock.example", "/stock/drums", "stock"],
+    ["stock.example", "/stocks/7", "all"],
+    ["stock.example", "/x?y=/stock/drums/", "all"],
+    ["other.example", "/stock/7?a=1", "other"],
+    ["other.example", "/7", undefined],
+    ["unknown.example", "/stock/7", undefined],
+  ];
+  for (const [host, path, id] of cases) {
+    assert.equal(table.find(host, path)?.id, id, `${host} ${path}`);
+  }
+});
+
+// Guards against a document that sends requests to nowhere.
+test("references between the parts of a document are checked", () => {
+  assert.deepEqual(findProblems(sampleDocument()), []);
+  const digest = "a".repeat(64);
+  const problems = findProblems(sampleDocument({
+    routes: [
+      sampleRoute({ parts: [{ service: "nowhere", weight: 1 }] }),
+      sampleRoute({ parts: [{ service: "stockdesk", weight: 0 }] }),
+    ],
+    services: [sampleService()],
+    organisations: ["a", "b"].map((id) => ({
+      id,
+      keyDigests: [digest],
+      ratePerS: 0,
+      burst: 0,
+      homeRegions: [],
+    })),
+  }));
+  assert.equal(problems.length, 3);
+});
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -3,9 +3,10 @@
  *
  * @module
  */
+import type { Random } from "./types.ts";
 
 /** Whether a request may have run on a target. */
-export type Ran = "no" | "unknown" | "yes";
+export type Ran = "no" | "unknown";
 
 /** What a caller is told for one error kind. */
 export interface ErrorAnswer {
@@ -19,7 +20,10 @@
   readonly advice: string;
 }
 
-/** The answer for each error kind. */
+/**
+ * The answer for each error kind. The statuses 429 and 503 promise that the
+ * request has not run and never will.
+ */
 export const ERROR_ANSWERS = {
   bad_request: {
     status: 400,
@@ -27,6 +31,12 @@
     retryAfterMs: 0,
     advice: "Correct the request.",
   },
+  header_too_large: {
+    status: 431,
+    ran: "no",
+    retryAfterMs: 0,
+    advice: "Send smaller headers.",
+  },
   key_missing: {
     status: 401,
     ran: "no",
@@ -39,23 +49,11 @@
     retryAfterMs: 0,
     advice: "The key is unknown or revoked. Ask the operators for a new one.",
   },
-  key_revoked_in_flight: {
-    status: 401,
-    ran: "unknown",
-    retryAfterMs: 0,
-    advice: "The key was revoked while the request ran.",
-  },
-  key_unverified: {
-    status: 503,
-    ran: "no",
-    retryAfterMs: 2_000,
-    advice: "This host is cut off and cannot verify keys. Use another host.",
-  },
   route_unknown: {
     status: 404,
     ran: "no",
     retryAfterMs: 0,
-    advice: "No route has this path and method.",
+    advice: "No route has this host and path.",
   },
   body_too_large: {
     status: 413,
@@ -70,27 +68,27 @@
     advice: "The organisation is over its rate. Retry after the delay.",
   },
   request_blocked: {
-    status: 422,
+    status: 503,
     ran: "no",
-    retryAfterMs: 0,
+    retryAfterMs: 5_000,
     advice: "Requests like this one crashed several targets. Do not resend it.",
   },
   no_room: {
     status: 503,
     ran: "no",
-    retryAfterMs: 1_000,
-    advice: "No healthy target has room. Retry after the delay.",
+    retryAfterMs: 300,
+    advice: "No target can answer in time. Retry after the delay.",
   },
   no_target: {
     status: 503,
     ran: "no",
-    retryAfterMs: 2_000,
+    retryAfterMs: 300,
     advice: "No target of this service can be used. Retry after the delay.",
   },
   deadline_not_run: {
-    status: 504,
+    status: 503,
     ran: "no",
-    retryAfterMs: 500,
+    retryAfterMs: 0,
     advice: "The deadline passed before the request was sent to a target.",
   },
   deadline_unknown: {
@@ -105,54 +103,16 @@
     retryAfterMs: 0,
     advice: "The target failed after the request was sent to it.",
   },
-  target_unreachable: {
-    status: 502,
-    ran: "no",
-    retryAfterMs: 1_000,
-    advice: "No connection to a target could be made.",
-  },
-  order_identity_missing: {
-    status: 400,
-    ran: "no",
-    retryAfterMs: 0,
-    advice: "Send the header 'idempotency-key' with an order.",
-  },
-  order_running: {
-    status: 409,
-    ran: "unknown",
-    retryAfterMs: 500,
-    advice: "The same order is running. Ask for its state.",
-  },
-  order_unknown: {
-    status: 409,
-    ran: "unknown",
-    retryAfterMs: 0,
-    advice: "The order was started before and its outcome is not known here. " +
-      "Ask the service's own records; it will not be run again.",
-  },
-  order_mismatch: {
-    status: 422,
-    ran: "no",
-    retryAfterMs: 0,
-    advice: "The idempotency key was used for a different request. " +
-      "This request was not run; send it with a new key.",
-  },
-  order_store_unavailable: {
-    status: 503,
-    ran: "no",
-    retryAfterMs: 2_000,
-    advice: "The order could not be recorded, so it was not run. Retry it.",
-  },
   host_leaving: {
     status: 503,
     ran: "no",
-    retryAfterMs: 200,
+    retryAfterMs: 50,
     advice: "This host is stopping. Use another host.",
   },
   host_starting: {
     status: 503,
     ran: "no",
-    retryAfterMs: 1_000,
+    retryAfterMs: 300,
     advice: "This host has no configuration yet. Use another host.",
   },
   internal: {
@@ -176,30 +136,36 @@
   readonly retryAfterMs: number;
 }
 
+/** Spread of the delays, so that refused callers do not return together. */
+const RETRY_AFTER_SPREAD = 0.5;
+
 /**
  * Builds the refusal for an error kind.
  *
- * @param kind The error kind.
- * @param random Returns a number from 0 up to 1; spreads the delays, so that
- * refused callers do not come back at the same moment.
- * @param options `retryAfterMs` replaces the base delay of the table, and
- * `mayHaveRun` tells that an earlier attempt may have run the request.
+ * @param options `retryAfterMs` replaces the base delay of the table.
  */
 export function refusalFor(
   kind: ErrorKind,
-  random: () => number,
-  options: { retryAfterMs?: number; mayHaveRun?: boolean } = {},
+  random: Random,
+  options: { retryAfterMs?: number } = {},
 ): Refusal {
   const answer: ErrorAnswer = ERROR_ANSWERS[kind];
   const baseMs = options.retryAfterMs ?? answer.retryAfterMs;
-  const retryAfterMs = baseMs === 0
-    ? 0
-    : Math.ceil(baseMs * (0.75 + 0.5 * random()));
+  const spread = 1 - RETRY_AFTER_SPREAD / 2 + RETRY_AFTER_SPREAD * random();
   return {
     kind,
     status: answer.status,
-    ran: options.mayHaveRun && answer.ran === "no" ? "unknown" : answer.ran,
+    ran: answer.ran,
     message: answer.advice,
-    retryAfterMs,
+    retryAfterMs: baseMs === 0 ? 0 : Math.ceil(baseMs * spread),
   };
 }
+
+/**
+ * The kind that is true for a request that may have run: kinds that promise
+ * the contrary are replaced.
+ */
+export function kindAfterSend(kind: ErrorKind): ErrorKind {
+  if (ERROR_ANSWERS[kind].ran === "unknown") return kind;
+  return kind === "deadline_not_run" ? "deadline_unknown" : "target_failed";
+}
--- a/src/core/import_graph_test.ts
+++ b/src/core/import_graph_test.ts
@@ -4,7 +4,7 @@
 import { fileURLToPath } from "node:url";
 import { test } from "node:test";
 
-const CORE = dirname(fileURLToPath(import.meta.url)).replace("/dist/", "/src/");
+const CORE = dirname(fileURLToPath(import.meta.url)).replace("/dist/", "/");
 const ALLOWED_PACKAGES = new Set(["zod"]);
 const FORBIDDEN = [
   /\bDate\b/,
--- /dev/null
+++ b/src/core/limits/quotas.ts
@@ -0,0 +1,286 @@
+/**
+ * Rates of organisations that hold over all hosts together.
+ *
+ * Each host has a share of an organisation's rate and burst. A fixed part is
+ * divided evenly over the known hosts; the rest follows the demand that hosts
+ * report. A host that stops hearing from most others falls back to its fixed
+ * part before the others take the rest, so a partition adds nothing.
+ *
+ * While all hosts together see less than the rate, a host may exceed its
+ * share: only the sum of what all hosts admit counts then, so that chance at
+ * one host refuses nothing.
+ *
+ * @module
+ */
+import type { Organisation } from "../document/document.ts";
+import { DemandMeter } from "./demand_meter.ts";
+import {
+  createBucket,
+  refill,
+  resize,
+  takeToken,
+  type TokenBucket,
+  waitForTokenMs,
+} from "./token_bucket.ts";
+import { WindowCounter } from "./window_counter.ts";
+
+/** Part of a rate that is divided evenly and never taken by other hosts. */
+const FIXED_PART = 0.2;
+/** Silence of most hosts after which this host uses its fixed part only. */
+export const HOLD_MS = 8_000;
+/** Silence of a host after which the others use its floating part. */
+export const RECLAIM_MS = 12_000;
+/** Age of a report above which a host is assumed to use its whole share. */
+const STALE_MS = 1_000;
+/** Requests a second that are added to each host's demand, against chance. */
+const PRIOR_PER_S = 0.5;
+/** Part of the rate up to which hosts may exceed their shares. */
+const RELAXED_PART = 0.95;
+/** Tokens that a host may save at least, so that rare requests pass. */
+const MIN_CAPACITY = 1;
+/** Delay that is stated when the window is full, as a part of the window. */
+const FULL_WINDOW_WAIT_PART = 0.1;
+/**
+ * Part of excess and slack that is used. The rest covers shares that differ
+ * while hosts learn of each other's demand.
+ */
+const USED_EXCESS_PART = 0.6;
+
+/** How an organisation's rate and burst are understood. */
+export interface QuotaBounds {
+  /** In each window of this length, rate times window plus burst may run. */
+  readonly windowMs: number;
+  /** Part by which that may be exceeded. */
+  readonly excessPart: number;
+  /** Requests by which it may be exceeded besides. */
+  readonly slack: number;
+}
+
+/** What a host tells about one organisation. */
+export interface Demand {
+  /** Requests a second that callers send, admitted or not. */
+  readonly perS: number;
+  /** Requests that were admitted in the last window. */
+  readonly admitted: number;
+}
+
+/** What another host last reported. */
+interface PeerDemand {
+  demands: ReadonlyMap<string, Demand>;
+  /** -Infinity for a host that has not reported yet. */
+  heardMs: number;
+}
+
+interface Quota {
+  organisation: Organisation;
+  readonly bucket: TokenBucket;
+  readonly window: WindowCounter;
+  readonly meter: DemandMeter;
+  share: number;
+  /** Demand that the other hosts know of. */
+  reportedPerS: number;
+  /** Demand of all hosts as of the last update. */
+  allPerS: number;
+}
+
+/** Result of asking for a request. */
+export interface QuotaAnswer {
+  readonly admitted: boolean;
+  /** Time until the next token when not admitted, in milliseconds. */
+  readonly waitMs: number;
+}
+
+const ADMITTED: QuotaAnswer = { admitted: true, waitMs: 0 };
+const NO_DEMANDS: ReadonlyMap<string, Demand> = new Map();
+const NO_DEMAND: Demand = { perS: 0, admitted: 0 };
+
+/** Shares of this host. */
+export class Quotas {
+  readonly #bounds: QuotaBounds;
+  #byId = new Map<string, Quota>();
+  #peers = new Map<string, PeerDemand>();
+  /** Whether buckets start full, as no earlier run has spent anything. */
+  #startsFull: boolean;
+  /** Whether most hosts are heard. */
+  #holds = false;
+
+  constructor(bounds: QuotaBounds, options: { startsFull?: boolean } = {}) {
+    this.#bounds = bounds;
+    this.#startsFull = options.startsFull ?? false;
+  }
+
+  /** Takes over the organisations of a document. */
+  configure(organisations: readonly Organisation[], nowMs: number): void {
+    const known = this.#byId;
+    this.#byId = new Map();
+    for (const organisation of organisations) {
+      if (organisation.ratePerS === 0) continue;
+      const quota = known.get(organisation.id);
+      this.#byId.set(
+        organisation.id,
+        quota === undefined
+          ? this.#create(organisation, nowMs)
+          : Object.assign(quota, { organisation }),
+      );
+    }
+    this.#startsFull = false;
+    this.update(nowMs);
+  }
+
+  /** Takes over which other hosts there are, heard of or not. */
+  setPeers(hostIds: readonly string[]): void {
+    const peers = this.#peers;
+    this.#peers = new Map(
+      hostIds.map((id) => [
+        id,
+        peers.get(id) ?? { demands: NO_DEMANDS, heardMs: -Infinity },
+      ]),
+    );
+  }
+
+  /** Takes over what another host reports. */
+  notePeer(
+    hostId: string,
+    demands: ReadonlyMap<string, Demand>,
+    nowMs: number,
+  ): void {
+    this.#peers.set(hostId, { demands, heardMs: nowMs });
+  }
+
+  /** Asks for one request of an organisation. */
+  admit(organisationId: string, nowMs: number): QuotaAnswer {
+    const quota = this.#byId.get(organisationId);
+    if (quota === undefined) return ADMITTED;
+    quota.meter.add();
+    const { bucket, window } = quota;
+    if (this.#isRelaxed(quota, nowMs)) {
+      takeToken(bucket, nowMs);
+      window.add(1, nowMs);
+      return ADMITTED;
+    }
+    if (window.total(nowMs) + 1 > this.#windowLimit(quota)) {
+      const waitMs = this.#bounds.windowMs * FULL_WINDOW_WAIT_PART;
+      return { admitted: false, waitMs };
+    }
+    if (!takeToken(bucket, nowMs)) {
+      return { admitted: false, waitMs: Math.ceil(waitForTokenMs(bucket)) };
+    }
+    window.add(1, nowMs);
+    return ADMITTED;
+  }
+
+  /** Returns the token of a request that did not run. */
+  giveBack(organisationId: string, nowMs: number): void {
+    const quota = this.#byId.get(organisationId);
+    if (quota === undefined) return;
+    const { bucket, window } = quota;
+    refill(bucket, nowMs);
+    bucket.tokens = Math.min(bucket.capacity, bucket.tokens + 1);
+    window.add(-1, nowMs);
+  }
+
+  /** Follows the demand. Called a few times a second. */
+  update(nowMs: number): void {
+    const peers = [...this.#peers.values()];
+    const hosts = peers.length + 1;
+    const isHeard = (withinMs: number) => ({ heardMs }: PeerDemand) =>
+      nowMs - heardMs < withinMs;
+    const heard = peers.filter(isHeard(HOLD_MS)).length;
+    const counted = peers.filter(isHeard(RECLAIM_MS));
+    this.#holds = 2 * (heard + 1) > hosts;
+    for (const [id, quota] of this.#byId) {
+      quota.meter.update(nowMs);
+      const othersPerS = sumOf(counted, id);
+      const prior = PRIOR_PER_S * (counted.length + 1);
+      const floating = (quota.reportedPerS + PRIOR_PER_S) /
+        (quota.reportedPerS + othersPerS + prior);
+      quota.allPerS = quota.meter.peakPerS + othersPerS;
+      quota.share = FIXED_PART / hosts +
+        (this.#holds ? (1 - FIXED_PART) * floating : 0);
+      resize(quota.bucket, this.#bucketOf(quota), nowMs);
+    }
+  }
+
+  /** Own demand of organisations that send, for the other hosts. */
+  report(nowMs: number): Map<string, Demand> {
+    const demands = new Map<string, Demand>();
+    for (const [id, quota] of this.#byId) {
+      const { meter, window } = quota;
+      const admitted = window.total(nowMs);
+      const perS = meter.steadyPerS;
+      quota.reportedPerS = perS;
+      // Less than one request in ten seconds changes no share.
+      if (perS < 0.1 && admitted === 0) continue;
+      demands.set(id, { perS, admitted });
+    }
+    return demands;
+  }
+
+  /** Share of this host in an organisation's rate; 1 without a limit. */
+  shareOf(organisationId: string): number {
+    return this.#byId.get(organisationId)?.share ?? 1;
+  }
+
+  #create(organisation: Organisation, nowMs: number): Quota {
+    const share = 1 / (this.#peers.size + 1);
+    const bucket = createBucket(this.#bucketOf({ organisation, share }), nowMs);
+    if (this.#startsFull) bucket.tokens = bucket.capacity;
+    return {
+      organisation,
+      bucket,
+      window: new WindowCounter(this.#bounds.windowMs, nowMs),
+      meter: new DemandMeter(nowMs),
+      share,
+      reportedPerS: 0,
+      allPerS: 0,
+    };
+  }
+
+  /** Whether only the sum over all hosts counts now. */
+  #isRelaxed(quota: Quota, nowMs: number): boolean {
+    const { organisation, allPerS, window } = quota;
+    if (!this.#holds) return false;
+    const allowed = this.#allowed(organisation);
+    const { windowMs } = this.#bounds;
+    if (allPerS * windowMs / 1_000 > RELAXED_PART * allowed) return false;
+    let admitted = window.total(nowMs);
+    const stale = allowed / (this.#peers.size + 1);
+    for (const { demands, heardMs } of this.#peers.values()) {
+      const ageMs = nowMs - heardMs;
+      const demand = demands.get(organisation.id) ?? NO_DEMAND;
+      admitted += ageMs > STALE_MS
+        ? Math.max(stale, demand.admitted)
+        : demand.admitted + demand.perS * ageMs / 1_000;
+    }
+    return admitted < RELAXED_PART * allowed;
+  }
+
+  /**
+   * The burst may be used again in each window, so a sustained rate holds the
+   * bound of the window with the burst spread over it.
+   */
+  #bucketOf({ organisation, share }: Pick<Quota, "organisation" | "share">) {
+    const windowS = this.#bounds.windowMs / 1_000;
+    return {
+      ratePerS: share * this.#allowed(organisation) / windowS,
+      capacity: Math.max(MIN_CAPACITY, organisation.burst * share),
+    };
+  }
+
+  #windowLimit({ organisation, share }: Quota): number {
+    return Math.max(MIN_CAPACITY, this.#allowed(organisation) * share);
+  }
+
+  /** Requests that all hosts together may run in a window. */
+  #allowed({ ratePerS, burst }: Organisation): number {
+    const { windowMs, excessPart, slack } = this.#bounds;
+    const stated = ratePerS * windowMs / 1_000 + burst;
+    return stated + USED_EXCESS_PART * (stated * excessPart + slack);
+  }
+}
+
+function sumOf(peers: readonly PeerDemand[], id: string): number {
+  let perS = 0;
+  for (const { demands } of peers) perS += demands.get(id)?.perS ?? 0;
+  return perS;
+}
--- /dev/null
+++ b/src/core/membership/report.ts
@@ -0,0 +1,29 @@
+/**
+ * What one run of a host tells all other hosts.
+ *
+ * @module
+ */
+import type { Demand } from "../limits/quotas.ts";
+import type { StoppedVersion, VersionCount } from "../release/types.ts";
+import type { Kind } from "../store/types.ts";
+import type { HostRecord } from "./types.ts";
+
+/** A request that was in flight when a target died. */
+export interface CrashBlameNote {
+  readonly fingerprint: string;
+  /** Target that died; "" when the fingerprint is blocked. */
+  readonly targetId: string;
+}
+
+/** A host's report. It replaces the earlier reports of the same run. */
+export interface HostReport {
+  readonly record: HostRecord;
+  /** Newest change that the host holds of each kind. */
+  readonly revisions: ReadonlyMap<Kind, number>;
+  /** Requests by organisation. */
+  readonly demands: ReadonlyMap<string, Demand>;
+  readonly counts: readonly VersionCount[];
+  readonly stopped: readonly StoppedVersion[];
+  /** What was learned recently. */
+  readonly blames: readonly CrashBlameNote[];
+}
--- /dev/null
+++ b/src/core/release/releases.ts
@@ -0,0 +1,307 @@
+/**
+ * Releases of all services: which versions requests may use, and how a new
+ * version's share grows or ends.
+ *
+ * Every host holds the counts of all hosts and stops a bad version by itself.
+ * Raising a share needs more: recent contact with the store, where an outcome
+ * may have been written, and reports of most hosts.
+ *
+ * @module
+ */
+import { findFault, routesWithoutEvidence } from "./evidence.ts";
+import {
+  evaluationMs,
+  evaluationShare,
+  raisedShare,
+  routeShare,
+} from "./share_schedule.ts";
+import type {
+  ReleaseBounds,
+  ReleaseEffect,
+  ReleaseOrder,
+  StoppedVersion,
+  VersionRule,
+} from "./types.ts";
+import type { Tally, VersionCounts } from "./version_counts.ts";
+
+/** Age of the last contact with the store above which no share is raised. */
+const MAX_STORE_AGE_MS = 2_500;
+/** Time between two attempts to write the same outcome. */
+const WRITE_INTERVAL_MS = 600;
+/** Length of the window of recent counts, for rates. */
+const RECENT_S = 2;
+
+interface ReleaseState {
+  order: ReleaseOrder;
+  firstSeenMs: number;
+  /** When the version was found good; `undefined` before. */
+  goodMs: number | undefined;
+  share: number;
+  routeShares: ReadonlyMap<string, number>;
+  writtenMs: number;
+}
+
+/** What is known at a tick. */
+export interface ReleaseInputs {
+  /** Age of the last answer of the store. */
+  readonly storeAgeMs: number;
+  /** Whether most hosts have reported recently. */
+  readonly hearsMostHosts: boolean;
+  /** Whether this host writes the outcome of a service's release. */
+  readonly writesFor: (service: string) => boolean;
+}
+
+/** All releases as this host sees them. */
+export class Releases {
+  #counts: VersionCounts;
+  #bounds: () => ReleaseBounds;
+  #states = new Map<string, ReleaseState>();
+  #stopped = new Map<string, Map<string, string>>();
+  /** Versions that are in use without a release, by service. */
+  #base = new Map<string, ReadonlySet<string>>();
+
+  constructor(counts: VersionCounts, bounds: () => ReleaseBounds) {
+    this.#counts = counts;
+    this.#bounds = bounds;
+  }
+
+  /** Takes over the ordered releases. */
+  setOrders(orders: readonly ReleaseOrder[], nowMs: number): void {
+    const gone = new Set(this.#states.keys());
+    for (const order of orders) {
+      gone.delete(order.service);
+      const known = this.#states.get(order.service);
+      if (known === undefined || known.order.version !== order.version) {
+        this.#states.set(order.service, {
+          order,
+          firstSeenMs: nowMs,
+          goodMs: undefined,
+          share: evaluationShare(this.#bounds().exposureShare),
+          routeShares: new Map(),
+          writtenMs: -Infinity,
+        });
+      } else known.order = order;
+      if (order.outcome === "rolled_back") {
+        this.stop({ ...order, reason: "the store holds it as rolled back" });
+      }
+      if (order.outcome === "complete") {
+        this.#base.set(order.service, new Set([order.version]));
+      }
+    }
+    for (const service of gone) this.#states.delete(service);
+  }
+
+  /**
+   * Takes over the versions of a service's targets. Versions that appear
+   * without an order get no traffic, except for the first ones.
+   *
+   * @param versions Versions with the earliest start of a target of each.
+   */
+  noteVersions(service: string, versions: ReadonlyMap<string, number>): void {
+    const ordered = this.#states.get(service)?.order.version;
+    const known = this.#base.get(service);
+    if (known !== undefined && known.size > 0) return;
+    let oldest: string | undefined;
+    for (const [version, startedMs] of versions) {
+      if (version === ordered) continue;
+      if (startedMs < (versions.get(oldest ?? "") ?? Infinity)) {
+        oldest = version;
+      }
+    }
+    if (oldest !== undefined) this.#base.set(service, new Set([oldest]));
+  }
+
+  /** Stops a version for good. Returns whether that was news. */
+  stop({ service, version, reason }: StoppedVersion): boolean {
+    let versions = this.#stopped.get(service);
+    if (versions === undefined) {
+      versions = new Map();
+      this.#stopped.set(service, versions);
+    }
+    if (versions.has(version)) return false;
+    versions.set(version, reason);
+    return true;
+  }
+
+  /** All stopped versions, for the other hosts. */
+  stopped(): StoppedVersion[] {
+    return [...this.#stopped].flatMap(([service, versions]) =>
+      [...versions].map(([version, reason]) => ({ service, version, reason }))
+    );
+  }
+
+  /** Services with a release that is not over. */
+  openServices(): ReadonlySet<string> {
+    return new Set(
+      [...this.#states.values()]
+        .filter((state) => !this.#isOver(state))
+        .map(({ order }) => order.service),
+    );
+  }
+
+  /**
+   * Returns which versions a request may use.
+   *
+   * @param unit Number from 0 up to 1 of the request's object, so that the
+   * same objects use the new version throughout.
+   */
+  ruleFor(service: string, routeId: string, unit: number): VersionRule {
+    const base = this.#base.get(service);
+    const state = this.#states.get(service);
+    if (state !== undefined && !this.#isOver(state)) {
+      const { version } = state.order;
+      const share = state.routeShares.get(routeId) ?? state.share;
+      if (unit < share) return { type: "only", version };
+    }
+    if (base !== undefined && base.size === 1) {
+      const [version] = base;
+      return { type: "only", version };
+    }
+    return { type: "not", versions: this.#excluded(service) };
+  }
+
+  /** Evaluates all releases. Called a few times a second. */
+  tick(inputs: ReleaseInputs, nowMs: number): ReleaseEffect[] {
+    this.#counts.update(nowMs);
+    const effects: ReleaseEffect[] = [];
+    for (const state of this.#states.values()) {
+      effects.push(...this.#step(state, inputs, nowMs));
+    }
+    return effects;
+  }
+
+  #step(
+    state: ReleaseState,
+    inputs: ReleaseInputs,
+    nowMs: number,
+  ): ReleaseEffect[] {
+    const { order } = state;
+    const { service, version } = order;
+    if (order.outcome === "complete" || order.outcome === "rolled_back") {
+      return [];
+    }
+    const reason = this.#stopped.get(service)?.get(version);
+    if (reason !== undefined) {
+      return this.#write(
+        state,
+        { outcome: "rolled_back", reason, inputs },
+        nowMs,
+      );
+    }
+    const fault = this.#findFault(order);
+    if (fault !== undefined) {
+      this.stop({ service, version, reason: fault });
+      return [{ type: "stop", service, version, reason: fault }];
+    }
+    return this.#advance(state, inputs, nowMs);
+  }
+
+  #advance(
+    state: ReleaseState,
+    inputs: ReleaseInputs,
+    nowMs: number,
+  ): ReleaseEffect[] {
+    const { order } = state;
+    const { service, version, durationMs } = order;
+    const mayRaise = inputs.storeAgeMs < MAX_STORE_AGE_MS &&
+      inputs.hearsMostHosts;
+    const seenForMs = nowMs - state.firstSeenMs;
+    if (state.goodMs === undefined) {
+      const lacking = this.#lacking(order);
+      this.#setRouteShares(state);
+      if (
+        mayRaise && seenForMs >= evaluationMs(durationMs) &&
+        lacking.length === 0
+      ) state.goodMs = nowMs;
+      else if (order.outcome === "ordered") {
+        const reason = "the order was seen";
+        return this.#write(
+          state,
+          { outcome: "running", reason, inputs },
+          nowMs,
+        );
+      } else return [];
+    }
+    // A share that may not be raised any further is kept.
+    if (!mayRaise) return [];
+    const share = raisedShare(nowMs - state.goodMs, durationMs);
+    if (share === undefined) {
+      state.share = 1;
+      const reason = "no fault was found up to the whole traffic";
+      return this.#write(state, { outcome: "complete", reason, inputs }, nowMs);
+    }
+    if (share === state.share) return [];
+    state.share = share;
+    state.routeShares = new Map();
+    const reason = "no fault was found at the share before";
+    return [{ type: "share", service, version, share, reason }];
+  }
+
+  #setRouteShares(state: ReleaseState): void {
+    const { service, version } = state.order;
+    const recent = this.#counts.tallies(service, version, { recent: true });
+    const others = this.#counts.tallies(service, version, {
+      recent: true,
+      except: true,
+    });
+    const shares = new Map<string, number>();
+    for (const routeId of new Set([...recent.keys(), ...others.keys()])) {
+      const perS = (answersOf(recent, routeId) + answersOf(others, routeId)) /
+        RECENT_S;
+      shares.set(routeId, routeShare(state.share, perS));
+    }
+    state.routeShares = shares;
+  }
+
+  #findFault({ service, version }: ReleaseOrder): string | undefined {
+    for (const recent of [true, false]) {
+      const newer = this.#counts.tallies(service, version, { recent });
+      const older = this.#counts.tallies(service, version, {
+        recent,
+        except: true,
+      });
+      const fault = findFault({ newer, older });
+      if (fault !== undefined) return fault;
+    }
+    return undefined;
+  }
+
+  #lacking({ service, version }: ReleaseOrder): string[] {
+    const newer = this.#counts.tallies(service, version);
+    const older = this.#counts.tallies(service, version, { except: true });
+    if (newer.size === 0) return ["no route has an answer"];
+    return routesWithoutEvidence({ newer, older });
+  }
+
+  #write(
+    state: ReleaseState,
+    { outcome, reason, inputs }: {
+      outcome: "running" | "complete" | "rolled_back";
+      reason: string;
+      inputs: ReleaseInputs;
+    },
+    nowMs: number,
+  ): ReleaseEffect[] {
+    const { order } = state;
+    if (!inputs.writesFor(order.service)) return [];
+    if (nowMs - state.writtenMs < WRITE_INTERVAL_MS) return [];
+    state.writtenMs = nowMs;
+    return [{ type: "write", order, outcome, reason }];
+  }
+
+  #isOver({ order }: ReleaseState): boolean {
+    return order.outcome === "complete" || order.outcome === "rolled_back" ||
+      (this.#stopped.get(order.service)?.has(order.version) ?? false);
+  }
+
+  #excluded(service: string): ReadonlySet<string> {
+    const versions = new Set(this.#stopped.get(service)?.keys() ?? []);
+    const open = this.#states.get(service);
+    if (open !== undefined) versions.add(open.order.version);
+    return versions;
+  }
+}
+
+function answersOf(tallies: ReadonlyMap<string, Tally>, routeId: string) {
+  return tallies.get(routeId)?.answers ?? 0;
+}
--- a/src/core/release/types.ts
+++ b/src/core/release/types.ts
@@ -1,101 +1,67 @@
 /**
- * Types of releases.
+ * Types of releases: moves of a service's traffic to another version.
  *
  * @module
  */
-import { z } from "zod";
 
-/** Prefix of the keys of releases in the platform. */
-export const RELEASE_PREFIX = "release/";
+/** How far a release is, as the store holds it. */
+export type ReleaseOutcome = "ordered" | "running" | "complete" | "rolled_back";
 
-/** Number of load bands; see `loadBandOf`. */
-export const LOAD_BANDS = 3;
-
-const reference = z.strictObject({
-  count: z.number(),
-  failedRatio: z.number(),
-  medianBucket: z.number().int(),
-  highBucket: z.number().int(),
-});
-
-const routeShare = z.strictObject({
-  id: z.string(),
-  /** Part of the route's requests that the new version gets. */
-  percent: z.number().min(0).max(100),
-  /** Whether the route has left the allowance. */
-  raised: z.boolean(),
-  evaluated: z.boolean(),
-  /** Answers of the new version seen so far. */
-  samples: z.number().int(),
-});
-
-/** Schema of `release/<service>`. */
-export const releaseSchema = z.strictObject({
-  service: z.string(),
-  fromVersion: z.string(),
-  toVersion: z.string(),
-  /** Lease counter of the writer (fencing token). */
-  counter: z.number().int(),
-  /** Grows with each write, so that no two writes are equal. */
-  sequence: z.number().int(),
-  phase: z.enum(["evaluating", "raising", "done", "rolled_back"]),
-  /** Upper bound of the new version's part on routes that are not raised. */
-  allowancePercent: z.number().min(0).max(5),
-  routes: z.array(routeShare),
-  /** Time left until the deadline when this was written; may be negative. */
-  remainingMs: z.number(),
-  reason: z.string(),
-  /** Versions that were found bad; they stay stopped for good. */
-  rolledBackVersions: z.array(z.string()),
-  /** The old version's figures by `<route>/<load band>`. */
-  reference: z.record(z.string(), reference),
-});
-
-/** A release as the platform holds it. */
-export type Release = z.infer<typeof releaseSchema>;
-/** The share of one route. */
-export type RouteShare = z.infer<typeof routeShare>;
-/** The old version's figures on one route at one load. */
-export type Reference = z.infer<typeof reference>;
-
-/** A release as the document asks for it. */
-export interface ReleasePlan {
+/** A release as an operator orders it. */
+export interface ReleaseOrder {
   readonly service: string;
-  readonly fromVersion: string;
-  readonly toVersion: string;
-  readonly finishWithinMs: number;
-  readonly latencyToleranceRatio: number;
+  readonly version: string;
+  /** Time from the order until the version should have all traffic. */
+  readonly durationMs: number;
+  readonly outcome: ReleaseOutcome;
+  /** Version of the stored object, which a write of the outcome names. */
+  readonly revision: number;
 }
 
-/** Counts of one route, version and load band. */
-export interface StatsCell {
-  readonly route: string;
+/** Answers of one version on one route since a process started. */
+export interface VersionCount {
+  readonly service: string;
+  readonly routeId: string;
   readonly version: string;
-  readonly loadBand: number;
-  count: number;
-  failed: number;
-  /** Answers that did not fail, by latency bucket. */
-  readonly buckets: Uint32Array;
+  readonly answers: number;
+  /** Answers that failed or came far later than expected. */
+  readonly bad: number;
 }
 
-/** Statistics of one interval over all hosts that reported. */
-export interface IntervalReport {
-  readonly cells: readonly StatsCell[];
-  /** Length of the interval in milliseconds. */
-  readonly lengthMs: number;
-  /** Part of the entry hosts that reported, from 0 to 1. */
-  readonly hostsPart: number;
-  /** Whether the caller holds the lease and may raise shares. */
-  readonly mayRaise: boolean;
+/** Which versions of a service a request may use. */
+export type VersionRule =
+  | { readonly type: "only"; readonly version: string }
+  | { readonly type: "not"; readonly versions: ReadonlySet<string> };
+
+/** A version that gets no more traffic, and why. */
+export interface StoppedVersion {
+  readonly service: string;
+  readonly version: string;
+  readonly reason: string;
 }
 
-/** What the controller has to do. */
+/** What the shell has to do for a release. */
 export type ReleaseEffect =
-  /** Publish the fact first; the state is written after it. */
+  /** Tell other hosts at once. */
+  | ({ readonly type: "stop" } & StoppedVersion)
+  /** The share of the new version has changed. */
   | {
-    readonly type: "roll_back";
+    readonly type: "share";
     readonly service: string;
     readonly version: string;
+    readonly share: number;
     readonly reason: string;
   }
-  | { readonly type: "write"; readonly release: Release };
+  /** Write the outcome to the store, based on the order's revision. */
+  | {
+    readonly type: "write";
+    readonly order: ReleaseOrder;
+    readonly outcome: "running" | "complete" | "rolled_back";
+    readonly reason: string;
+  };
+
+/** Bounds that are stated for releases. */
+export interface ReleaseBounds {
+  /** Part of the service's requests that a bad version may get. */
+  readonly exposureShare: number;
+}
--- /dev/null
+++ b/src/core/release/version_counts.ts
@@ -0,0 +1,101 @@
+/**
+ * Answers of versions over all hosts, in total and within a recent window.
+ *
+ * @module
+ */
+import type { VersionCount } from "./types.ts";
+
+/** Time between two snapshots of the sums. */
+const SNAPSHOT_MS = 250;
+/** Snapshots that make up the recent window. */
+const SNAPSHOTS = 8;
+
+/** Counts of one version on one route. */
+export interface Tally {
+  answers: number;
+  bad: number;
+}
+
+/** Own counts and those that other hosts report. */
+export class VersionCounts {
+  #own = new Map<string, { count: VersionCount & Tally }>();
+  #peers = new Map<string, readonly VersionCount[]>();
+  #snapshots: Map<string, Tally>[] = [];
+  #snapshotMs = -Infinity;
+
+  /** Counts an answer that this host received. */
+  note(
+    { service, routeId, version }: Omit<VersionCount, "answers" | "bad">,
+    bad: boolean,
+  ): void {
+    const key = keyOf(service, routeId, version);
+    let entry = this.#own.get(key);
+    if (entry === undefined) {
+      entry = { count: { service, routeId, version, answers: 0, bad: 0 } };
+      this.#own.set(key, entry);
+    }
+    entry.count.answers += 1;
+    if (bad) entry.count.bad += 1;
+  }
+
+  /** Takes over the counts of another host's run. */
+  setPeer(run: string, counts: readonly VersionCount[]): void {
+    this.#peers.set(run, counts);
+  }
+
+  /** Own counts of some services, for the other hosts. */
+  own(services: ReadonlySet<string>): VersionCount[] {
+    return [...this.#own.values()]
+      .map(({ count }) => ({ ...count }))
+      .filter(({ service }) => services.has(service));
+  }
+
+  /** Keeps a snapshot when it is time. Called a few times a second. */
+  update(nowMs: number): void {
+    if (nowMs - this.#snapshotMs < SNAPSHOT_MS) return;
+    this.#snapshotMs = nowMs;
+    this.#snapshots.push(this.#sums());
+    if (this.#snapshots.length > SNAPSHOTS + 1) this.#snapshots.shift();
+  }
+
+  /** Routes on which a version of a service has answered, with its counts. */
+  tallies(
+    service: string,
+    version: string,
+    options: { recent?: boolean; except?: boolean } = {},
+  ): Map<string, Tally> {
+    const { recent = false, except = false } = options;
+    const latest = this.#snapshots.at(-1) ?? new Map<string, Tally>();
+    const base = recent ? this.#snapshots[0] : undefined;
+    const result = new Map<string, Tally>();
+    for (const [key, tally] of latest) {
+      const [ofService, routeId, ofVersion] = key.split("\n");
+      if (ofService !== service) continue;
+      if ((ofVersion === version) === except) continue;
+      const before = base?.get(key);
+      const sum = result.get(routeId) ?? { answers: 0, bad: 0 };
+      sum.answers += tally.answers - (before?.answers ?? 0);
+      sum.bad += tally.bad - (before?.bad ?? 0);
+      result.set(routeId, sum);
+    }
+    return result;
+  }
+
+  #sums(): Map<string, Tally> {
+    const sums = new Map<string, Tally>();
+    const add = (count: VersionCount) => {
+      const key = keyOf(count.service, count.routeId, count.version);
+      const sum = sums.get(key) ?? { answers: 0, bad: 0 };
+      sum.answers += count.answers;
+      sum.bad += count.bad;
+      sums.set(key, sum);
+    };
+    for (const { count } of this.#own.values()) add(count);
+    for (const counts of this.#peers.values()) counts.forEach(add);
+    return sums;
+  }
+}
+
+function keyOf(service: string, routeId: string, version: string): string {
+  return `${service}\n${routeId}\n${version}`;
+}
--- a/src/core/request/arrival.ts
+++ b/src/core/request/arrival.ts
@@ -3,150 +3,138 @@
  *
  * @module
  */
-import type { Credential } from "../auth/keys.ts";
-import type { Route } from "../document/schema.ts";
-import type { ErrorKind } from "../errors.ts";
-import type { RefusalContext } from "../explain/types.ts";
-import { credentialOf, enterGrant, reasonNotToTake } from "./remote.ts";
-import type { PipelineParts, RequestEvent, RequestState } from "./types.ts";
+import { hash32, mix32, unitOf } from "../hash32.ts";
+import type { Document, Organisation, Route } from "../document/document.ts";
+import type { PipelineParts } from "./parts.ts";
+import type { Arrival, Obstacle, RequestState } from "./types.ts";
 
-/** A request that has arrived. */
-export type ArrivedEvent = Extract<RequestEvent, { type: "arrived" }>;
+/** Time that a request may take when neither caller nor route limits it. */
+const DEFAULT_TIMEOUT_MS = 30_000;
 
 /** Result of the checks. */
 export type ArrivalResult =
   | { readonly request: RequestState }
   | {
-    readonly refused: ErrorKind;
-    readonly retryAfterMs?: number;
-    /** What was found out before the refusal. */
-    readonly about?: Partial<RefusalContext>;
+    readonly obstacle: Obstacle;
+    readonly route?: Route;
+    readonly organisation?: Organisation;
   };
 
 /** Checks a request and returns its state or the reason to refuse it. */
 export function checkArrival(
-  event: ArrivedEvent,
+  arrival: Arrival,
   parts: PipelineParts,
   nowMs: number,
 ): ArrivalResult {
-  if (event.malformed) return { refused: "bad_request" };
-  const route = parts.findRoute(event.method, event.path);
-  if (route === undefined) return { refused: "route_unknown" };
-  if (event.contentLength > route.maxBodyBytes) {
-    return { refused: "body_too_large", about: knownOf(route) };
+  const early = parts.refusesAll(nowMs);
+  if (early !== undefined) return { obstacle: early };
+  const document = parts.document();
+  if (document === undefined) {
+    return refuse("host_starting", "no configuration yet");
   }
-  const identity = identify(event, { route, parts, nowMs });
-  if ("refused" in identity) return { ...identity, about: knownOf(route) };
-  const { credential } = identity;
-  const organisation = credential?.organisation ?? "";
-  const about = { ...knownOf(route), organisation };
-  if (route.kind === "order" && event.idempotencyKey === "") {
-    return { refused: "order_identity_missing", about };
+  if (arrival.malformed) return refuse("bad_request", "malformed header");
+  if (arrival.headerBytes > document.limits.maxHeaderBytes) {
+    return refuse("header_too_large", `${arrival.headerBytes} header bytes`);
   }
-  if (event.timeoutMs < 0) return { refused: "deadline_not_run", about };
-  const fingerprint = fingerprintOf(event.contentHash, {
-    route,
-    method: event.method,
-    organisation,
-  });
-  if (fingerprint !== "" && parts.isBlocked(fingerprint, nowMs)) {
-    return { refused: "request_blocked", about: { ...about, fingerprint } };
+  const route = parts.findRoute(arrival.host, arrival.path);
+  if (route === undefined) {
+    return refuse("route_unknown", `no route at version ${document.version}`);
   }
-  if (credential !== undefined && event.relayed === undefined) {
-    const waitMs = parts.admit(credential.organisation, nowMs);
-    if (waitMs > 0) {
-      return { refused: "over_rate", retryAfterMs: waitMs, about };
-    }
+  const owner = identify(arrival, route, parts);
+  if ("obstacle" in owner) return { ...owner, route };
+  const { organisation } = owner;
+  const known = { route, organisation };
+  if (arrival.bodyBytes > document.limits.maxBodyBytes) {
+    return {
+      obstacle: {
+        kind: "body_too_large",
+        why: `${arrival.bodyBytes} body bytes`,
+      },
+      ...known,
+    };
   }
-  const grantId = enterGrant(parts, { event, route }, nowMs);
-  if (grantId === "" && event.relayed !== undefined) {
-    return { refused: "no_room", about };
+  const quota = organisation === undefined
+    ? undefined
+    : parts.admit(organisation.id, nowMs);
+  if (quota !== undefined && !quota.admitted) {
+    const why = "the organisation's share of the rate is used up";
+    const retryAfterMs = quota.waitMs;
+    return { obstacle: { kind: "over_rate", why, retryAfterMs }, ...known };
   }
-  const request = newRequest(event, { route, credential, grantId, nowMs });
-  request.fingerprint = fingerprint;
-  return { request };
+  return {
+    request: createRequest(arrival, {
+      route,
+      organisation,
+      document,
+      parts,
+      nowMs,
+    }),
+  };
 }
 
-function knownOf({ id, kind, service }: Route): Partial<RefusalContext> {
-  return { routeId: id, routeKind: kind, service };
+function refuse(kind: Obstacle["kind"], why: string): ArrivalResult {
+  return { obstacle: { kind, why } };
 }
 
 /** Finds out for whom a request is to run. */
 function identify(
-  event: ArrivedEvent,
-  { route, parts, nowMs }: {
-    route: Route;
-    parts: PipelineParts;
-    nowMs: number;
-  },
-): { credential: Credential | undefined } | { refused: ErrorKind } {
-  if (event.relayed !== undefined) {
-    const refused = reasonNotToTake(parts, event.relayed, { route, nowMs });
-    return refused === undefined
-      ? { credential: credentialOf(event.relayed) }
-      : { refused };
+  { keyDigest }: Arrival,
+  route: Route,
+  parts: PipelineParts,
+): { organisation: Organisation | undefined } | { obstacle: Obstacle } {
+  const organisation = keyDigest === ""
+    ? undefined
+    : parts.findOrganisation(keyDigest);
+  if (organisation !== undefined || route.open || !parts.needsKeys()) {
+    return { organisation };
   }
-  if (route.access === "open") return { credential: undefined };
-  if (event.keySha256 === "") return { refused: "key_missing" };
-  if (!parts.isFresh(nowMs)) return { refused: "key_unverified" };
-  const credential = parts.findCredential(event.keySha256);
-  return credential === undefined
-    ? { refused: "key_rejected" }
-    : { credential };
-}
-
-/**
- * Fingerprint of a request, or "" without the hash of its content.
- *
- * @param contentHash Hash of path, query and the start of the body.
- */
-export function fingerprintOf(
-  contentHash: string,
-  { route, method, organisation }: {
-    route: Route;
-    method: string;
-    organisation: string;
-  },
-): string {
-  if (contentHash === "") return "";
-  return `${route.id}/${method}/${organisation}/${contentHash}`;
+  const version = parts.document()?.version;
+  return {
+    obstacle: keyDigest === ""
+      ? { kind: "key_missing", why: "no key" }
+      : { kind: "key_rejected", why: `key unknown at version ${version}` },
+  };
 }
 
-function newRequest(
-  event: ArrivedEvent,
-  { route, credential, grantId, nowMs }: {
+function createRequest(
+  arrival: Arrival,
+  { route, organisation, parts, nowMs }: {
     route: Route;
-    credential: Credential | undefined;
-    grantId: string | undefined;
+    organisation: Organisation | undefined;
+    document: Document;
+    parts: PipelineParts;
     nowMs: number;
   },
 ): RequestState {
-  const timeoutMs = event.timeoutMs > 0
-    ? Math.min(event.timeoutMs, route.timeoutMs)
-    : route.timeoutMs;
+  const { requestId, objectKey, timeoutMs, bodyBytes } = arrival;
+  const objectHash = objectKey === ""
+    ? Math.floor(parts.random() * 2 ** 32)
+    : hash32(objectKey);
+  const service = parts.pickService(route, objectHash);
+  const placed = mix32(hash32(service), objectHash);
+  const limitMs = Math.min(
+    timeoutMs > 0 ? timeoutMs : Infinity,
+    route.timeoutMs > 0 ? route.timeoutMs : Infinity,
+  );
   return {
-    requestId: event.requestId,
+    requestId,
     route,
-    method: event.method,
-    idempotencyKey: event.idempotencyKey,
-    credential,
-    deadlineMs: nowMs + timeoutMs,
+    service,
+    organisation,
     arrivedMs: nowMs,
+    deadlineMs: nowMs + (limitMs === Infinity ? DEFAULT_TIMEOUT_MS : limitMs),
+    keyHash: route.sticky && objectKey !== "" ? placed : undefined,
+    unit: unitOf(mix32(placed, VERSION_SALT)),
     phase: "reading",
-    queuedMs: 0,
     fingerprint: "",
+    bodyBytes: Math.max(0, bodyBytes),
     attempts: 0,
-    brokenAttempts: 0,
-    target: undefined,
-    lastTargetId: "",
-    pickedVersion: undefined,
-    attemptStartedMs: 0,
-    loadRatio: 0,
-    sent: false,
+    mayHaveRun: false,
+    tried: [],
+    current: undefined,
     answerStarted: false,
-    room: undefined,
-    refusedBy: [],
-    grantId,
-    isRelayed: event.relayed !== undefined,
   };
 }
+
+/** Keeps the choice of a version independent of the choice of a target. */
+const VERSION_SALT = hash32("version");
--- a/src/core/request/step.ts
+++ b/src/core/request/step.ts
@@ -3,29 +3,38 @@
  *
  * @module
  */
-import { NOTHING_KNOWN } from "../explain/deciding_values.ts";
-import { mayRetry } from "../retry/retry_policy.ts";
-import { type ArrivedEvent, checkArrival, fingerprintOf } from "./arrival.ts";
-import { Dispatch } from "./dispatch.ts";
-import { Endings } from "./endings.ts";
-import { failureKind, outcomeAtDeadline, outcomeOf } from "./outcomes.ts";
+import { kindAfterSend, refusalFor } from "../errors.ts";
+import type { Verdict } from "../crashes/crash_blame.ts";
+import type { AttemptEnd, AttemptOutcome } from "../targets/types.ts";
+import { checkArrival } from "./arrival.ts";
+import { provesNotRun } from "./outcomes.ts";
+import type { PipelineParts } from "./parts.ts";
 import type { PipelineState } from "./pipeline.ts";
 import type {
-  AttemptEnd,
-  ClaimResult,
-  PipelineParts,
+  Arrival,
+  CurrentAttempt,
+  Obstacle,
+  RefusalContext,
   RequestEffect,
   RequestEvent,
   RequestState,
 } from "./types.ts";
 
 type AttemptEndedEvent = Extract<RequestEvent, { type: "attempt_ended" }>;
+type BodyReadyEvent = Extract<RequestEvent, { type: "body_ready" }>;
+
+/** Sends that may reach no target besides those that count as attempts. */
+const MAX_UNCOUNTED_SENDS = 4;
+/** An answer is bad for its version beyond this many cold times. */
+const SLOW_COLD_TIMES = 2;
+/** Shortest time without an answer after which a target is taken as silent. */
+const MIN_SILENT_MS = 600;
+/** A target is taken as silent after this many expected times. */
+const SILENT_EXPECTED_TIMES = 4;
 
 /** Applies an event and collects the effects. */
 export class Step {
   readonly effects: RequestEffect[] = [];
-  #endings: Endings;
-  #dispatch: Dispatch;
   #state: PipelineState;
   #nowMs: number;
   #parts: PipelineParts;
@@ -34,202 +43,296 @@
     this.#state = state;
     this.#nowMs = nowMs;
     this.#parts = parts;
-    const endings = new Endings(this.effects, state, { nowMs, parts });
-    this.#endings = endings;
-    this.#dispatch = new Dispatch(this.effects, state, {
-      nowMs,
-      parts,
-      endings,
-    });
   }
 
-  arrive(event: ArrivedEvent): void {
-    const result = checkArrival(event, this.#parts, this.#nowMs);
-    if ("refused" in result) {
-      const { refused, retryAfterMs, about } = result;
-      return this.#endings.pushRefusal(event.requestId, refused, {
-        retryAfterMs,
-        about: { ...NOTHING_KNOWN, ...about },
-      });
+  arrive(arrival: Arrival): void {
+    const result = checkArrival(arrival, this.#parts, this.#nowMs);
+    if ("request" in result) {
+      const { request } = result;
+      this.#state.requests.set(request.requestId, request);
+      this.#parts.noteRequest(request.service, this.#nowMs);
+      return;
     }
-    const { request } = result;
-    this.#state.requests.set(request.requestId, request);
-    this.#state.deadlines.add(request.requestId, request.deadlineMs);
-    this.#dispatch.budgetOf(request.route.service).noteRequest();
-    if (!event.hasBody) this.#begin(request);
+    const { obstacle, route, organisation } = result;
+    this.#pushRefusal(arrival.requestId, obstacle, {
+      routeId: route?.id ?? "",
+      service: "",
+      organisation: organisation?.id ?? "",
+      attempts: 0,
+      heldMs: 0,
+      why: obstacle.why,
+    });
   }
 
-  startBody(requestId: number, contentHash: string): void {
+  startBody({ requestId, bytes, contentHash }: BodyReadyEvent): void {
     const request = this.#state.requests.get(requestId);
     if (request === undefined || request.phase !== "reading") return;
-    request.fingerprint = fingerprintOf(contentHash, {
-      route: request.route,
-      method: request.method,
-      organisation: request.credential?.organisation ?? "",
-    });
-    this.#begin(request);
+    const { route, organisation } = request;
+    request.fingerprint = `${route.id}/${
+      organisation?.id ?? ""
+    }/${contentHash}`;
+    request.bodyBytes = Math.max(request.bodyBytes, bytes);
+    this.#dispatch(request);
   }
 
   refuseBody(requestId: number): void {
     const request = this.#state.requests.get(requestId);
     if (request === undefined) return;
-    if (request.answerStarted) {
-      return this.#endings.breakAnswer(request, "cancelled");
-    }
-    this.#endings.refuse(request, "body_too_large");
-  }
-
-  settleClaim(requestId: number, result: ClaimResult): void {
-    const request = this.#state.requests.get(requestId);
-    if (request === undefined || request.phase !== "claiming") {
-      if (result.type === "claimed") {
-        // The request ended while its claim was being written.
-        this.effects.push({
-          type: "order_ended",
-          requestId,
-          outcome: "not_run",
-        });
-      }
-      return;
-    }
-    switch (result.type) {
-      case "claimed":
-        return this.#dispatch.start(request);
-      case "running":
-        return this.#endings.refuse(request, "order_running");
-      case "unknown":
-        return this.#endings.refuse(request, "order_unknown");
-      case "unavailable":
-        return this.#endings.refuse(request, "order_store_unavailable");
-      case "mismatch":
-        return this.#endings.refuse(request, "order_mismatch");
-      case "replay":
-        this.effects.push({
-          type: "replay",
-          requestId,
-          answer: result.answer,
-        });
-        return this.#endings.finish(request, "done");
-    }
+    this.#end(request, {
+      kind: "body_too_large",
+      why: "the body is too large",
+    });
   }
 
   endAttempt(event: AttemptEndedEvent): void {
     const request = this.#state.requests.get(event.requestId);
-    if (request === undefined) return;
-    if (request.target === undefined && request.room === undefined) return;
-    const { end, status } = event;
-    const { service } = request.route;
-    const wasRelayed = request.room !== undefined;
-    if (end === "broken") request.brokenAttempts += 1;
-    this.#assignBlame(request, end);
-    this.#endings.endOnTarget(request, outcomeOf(end, status));
-    this.#endings.leaveRoom(
-      request,
-      end === "shed" || end === "connect_failed",
-    );
-    if (end === "answered") {
-      this.#endings.finish(request, "done");
-    } else if (request.answerStarted) {
+    const current = request?.current;
+    if (request === undefined || current === undefined) return;
+    const { end, sent, answerBytes } = event;
+    const { outcome } = end;
+    this.#finishAttempt(request, end);
+    if (!provesNotRun(outcome, sent)) request.mayHaveRun = true;
+    this.#assignBlame(request, current, end);
+    if (outcome === "answered") {
+      this.#parts.noteAnswerBytes(request, answerBytes);
+      this.effects.push({ type: "deliver", requestId: request.requestId });
+      return this.#forget(request);
+    }
+    if (request.answerStarted) {
       this.effects.push({ type: "break", requestId: request.requestId });
-      this.#endings.finish(request, "unknown");
-    } else if (this.#mayRetry(request, event)) {
-      // The retry budget protects own targets; grants bound the others.
-      if (wasRelayed) this.#dispatch.start(request);
-      else this.#dispatch.resend(request);
-    } else {
-      this.#endings.refuse(request, failureKind(end));
+      return this.#forget(request);
     }
-    this.#dispatch.drainQueue(service);
-  }
-
-  #assignBlame(request: RequestState, end: AttemptEnd): void {
-    const { target, fingerprint } = request;
-    if (target === undefined) return;
-    const { id, version } = target;
-    const { blame } = this.#state;
-    if (end === "broken") {
-      const verdict = blame.noteBreak(
-        id,
-        { fingerprint, version },
-        this.#nowMs,
-      );
-      this.#endings.blame(id, verdict);
-      this.effects.push({ type: "check_target", targetId: id });
-    } else if (end === "connect_failed") {
-      this.noteRefused(id);
-    } else if (end === "answered") {
-      blame.noteAnswered(fingerprint, version);
+    if (this.#mayRetry(request, event)) return this.#dispatch(request);
+    if (outcome === "failed") {
+      this.effects.push({ type: "deliver", requestId: request.requestId });
+      return this.#forget(request);
     }
+    this.#end(request, {
+      kind: request.mayHaveRun ? "target_failed" : "no_room",
+      why: `the last attempt ended as ${outcome}`,
+    });
   }
 
   /** A connection to a target was refused. */
   noteRefused(targetId: string): void {
     const { blame } = this.#state;
-    this.#endings.blame(targetId, blame.noteRefused(targetId, this.#nowMs));
+    this.#publish(targetId, blame.noteRefused(targetId, this.#nowMs));
   }
 
   dropCaller(requestId: number): void {
     const request = this.#state.requests.get(requestId);
-    if (request !== undefined) this.#endings.endEarly(request, "cancelled");
+    if (request === undefined) return;
+    this.#abort(request, "cancelled");
+    this.#forget(request);
   }
 
-  revokeKey(keyId: string): void {
+  /** Ends requests at their deadlines and notices silent targets. */
+  expire(): void {
     for (const request of [...this.#state.requests.values()]) {
-      if (request.credential?.keyId !== keyId) continue;
-      if (request.answerStarted) {
-        this.#endings.breakAnswer(request, "cancelled");
-      } else this.#endings.refuse(request, "key_rejected");
+      if (request.deadlineMs <= this.#nowMs) this.#endAtDeadline(request);
+      else if (request.current !== undefined) this.#noticeSilence(request);
     }
   }
 
-  expire(): void {
-    for (const id of this.#state.deadlines.takeExpired(this.#nowMs)) {
-      const request = this.#state.requests.get(id);
-      if (request === undefined) continue;
-      const outcome = outcomeAtDeadline(request, this.#nowMs);
-      if (request.answerStarted) this.#endings.breakAnswer(request, outcome);
-      else if (request.phase === "queued") {
-        this.#endings.refuse(request, "no_room");
-      } else this.#endings.refuse(request, "deadline_not_run", outcome);
+  #dispatch(request: RequestState): void {
+    const { fingerprint } = request;
+    if (this.#parts.isBlocked(fingerprint)) {
+      const why = "requests like this one crashed targets";
+      return this.#end(request, { kind: "request_blocked", why });
     }
-  }
-
-  /** Hands waiting requests over while targets have room. */
-  drainQueue(service: string): void {
-    this.#dispatch.drainQueue(service);
-  }
-
-  /** Starts a request whose fingerprint is known. */
-  #begin(request: RequestState): void {
-    if (this.#parts.isBlocked(request.fingerprint, this.#nowMs)) {
-      return this.#endings.refuse(request, "request_blocked");
+    const usable = this.#parts.usableTargets(request, this.#nowMs);
+    const candidate = this.#parts.chooseTarget(usable, request, this.#nowMs);
+    if (candidate === undefined) {
+      const why = `no usable target of ${request.service}`;
+      return this.#end(request, { kind: "no_target", why });
     }
-    // The host that relays an order has claimed it.
-    if (request.route.kind !== "order" || request.isRelayed) {
-      return this.#dispatch.start(request);
+    const late = this.#parts.tooLate(request, candidate, this.#nowMs);
+    if (late !== undefined) {
+      return this.#end(request, { kind: "no_room", why: late });
     }
-    request.phase = "claiming";
+    const { state, rank, warm, waitMs, expectedMs } = candidate;
+    const { reportedMs } = state.load;
+    const { keyHash } = request;
+    request.phase = "running";
+    request.attempts += 1;
+    request.tried.push(state.target.id);
+    request.current = {
+      knownWarm: keyHash !== undefined && state.warmKeys.has(keyHash),
+      flight: this.#parts.beginAttempt(request, state, this.#nowMs),
+      candidate,
+      startedMs: this.#nowMs,
+      foundSilent: false,
+    };
     this.effects.push({
-      type: "claim",
+      type: "send",
       requestId: request.requestId,
-      organisation: request.credential?.organisation ?? "",
+      target: state.target,
       route: request.route,
-      idempotencyKey: request.idempotencyKey,
+      organisation: request.organisation?.id ?? "",
       remainingMs: request.deadlineMs - this.#nowMs,
+      decision: {
+        attempt: request.tried.length,
+        rank,
+        warm,
+        waitMs: Math.round(waitMs),
+        expectedMs: Math.round(expectedMs),
+        usable: usable.length,
+        loadAgeMs: reportedMs === -Infinity
+          ? -1
+          : Math.round(this.#nowMs - reportedMs),
+      },
     });
   }
 
   #mayRetry(request: RequestState, event: AttemptEndedEvent): boolean {
-    if (event.end === "answered" || request.deadlineMs <= this.#nowMs) {
-      return false;
-    }
-    const { attempts, brokenAttempts, route } = request;
-    return mayRetry({
-      end: event.end,
-      idempotent: route.idempotent && route.kind !== "order",
-      canResend: event.canResend,
+    const { route, tried } = request;
+    const { outcome } = event.end;
+    if (!event.canResend || request.deadlineMs <= this.#nowMs) return false;
+    const proven = provesNotRun(outcome, event.sent);
+    if (!proven && !route.idempotent) return false;
+    // A target that was not reached, or is another one, took no attempt.
+    if (!event.sent || outcome === "misdirected") request.attempts -= 1;
+    if (request.attempts >= route.maxAttempts) return false;
+    if (tried.length >= route.maxAttempts + MAX_UNCOUNTED_SENDS) return false;
+    return !event.sent || this.#parts.takeRetry(request.service, this.#nowMs);
+  }
+
+  /** Takes what the end of an attempt tells about target and version. */
+  #finishAttempt(request: RequestState, end: AttemptEnd): void {
+    const { current, route } = request;
+    if (current === undefined) return;
+    request.current = undefined;
+    const { flight, candidate, startedMs, knownWarm } = current;
+    const { state } = flight;
+    const tookMs = this.#nowMs - startedMs;
+    const expected = this.#parts.expectedTime(route);
+    this.#parts.endAttempt(flight, end, this.#nowMs);
+    const slow = tookMs > SLOW_COLD_TIMES * expected.coldMs + candidate.waitMs;
+    const { outcome } = end;
+    if (outcome === "answered") {
+      const { warm, waitMs, roundTripMs } = candidate;
+      const workMs = Math.max(1, tookMs - waitMs - roundTripMs);
+      const baseMs = warm ? expected.warmMs : expected.coldMs;
+      state.notePace(workMs / baseMs, this.#nowMs);
+      if (!warm || knownWarm || request.keyHash === undefined) {
+        this.#parts.noteTime(route, workMs, { warm });
+      }
+    }
+    if (outcome === "answered" || (outcome === "cancelled" && !slow)) {
+      if (outcome === "cancelled") return;
+      return this.#parts.noteVersion(request, state, { bad: slow });
+    }
+    if (outcome === "failed" || outcome === "broken" || slow) {
+      this.#parts.noteVersion(request, state, { bad: true });
+    }
+  }
+
+  #assignBlame(
+    { fingerprint }: RequestState,
+    { flight }: CurrentAttempt,
+    { outcome }: AttemptEnd,
+  ): void {
+    const { target } = flight.state;
+    const { id, version } = target;
+    const { blame } = this.#state;
+    if (outcome === "broken") {
+      const request = { fingerprint, version };
+      this.#publish(id, blame.noteBreak(id, request, this.#nowMs));
+      this.effects.push({ type: "check_target", target });
+    } else if (outcome === "unreachable") {
+      this.noteRefused(id);
+    } else if (outcome === "answered") {
+      blame.noteAnswered(fingerprint, version);
+    }
+  }
+
+  #publish(targetId: string, { blocked, suspected }: Verdict): void {
+    for (const fingerprint of blocked) {
+      this.effects.push({ type: "block", fingerprint });
+    }
+    for (const fingerprint of suspected) {
+      this.effects.push({ type: "suspect", fingerprint, targetId });
+    }
+  }
+
+  #endAtDeadline(request: RequestState): void {
+    const why = `${Math.round(this.#nowMs - request.arrivedMs)} ms were over`;
+    if (request.answerStarted) {
+      this.#abort(request, "cancelled");
+      this.effects.push({ type: "break", requestId: request.requestId });
+      return this.#forget(request);
+    }
+    this.#end(request, { kind: "deadline_not_run", why });
+  }
+
+  /**
+   * Notices that a target does not answer. A request that may run twice is
+   * sent to another one; the others wait, as their answer may still come.
+   */
+  #noticeSilence(request: RequestState): void {
+    const { current, route, answerStarted } = request;
+    if (current === undefined || answerStarted) return;
+    const { candidate, startedMs, flight } = current;
+    const heldMs = this.#nowMs - startedMs;
+    const limitMs = Math.max(
+      MIN_SILENT_MS,
+      SILENT_EXPECTED_TIMES * candidate.expectedMs,
+    );
+    if (heldMs < limitMs) return;
+    const { health } = flight.state;
+    if (health.answeredMs >= startedMs) return;
+    if (!current.foundSilent) {
+      current.foundSilent = true;
+      health.note("silent", this.#nowMs);
+    }
+    if (!route.idempotent || request.attempts >= route.maxAttempts) return;
+    if (!this.#parts.takeRetry(request.service, this.#nowMs)) return;
+    request.mayHaveRun = true;
+    this.#abort(request, "cancelled");
+    this.#dispatch(request);
+  }
+
+  /** Refuses a request in progress and ends it. */
+  #end(request: RequestState, obstacle: Obstacle): void {
+    const { requestId, route, service, organisation, attempts } = request;
+    const running = request.current !== undefined;
+    const ran = request.mayHaveRun || running;
+    if (running) this.#abort(request, "cancelled");
+    if (request.answerStarted) {
+      this.effects.push({ type: "break", requestId });
+      return this.#forget(request);
+    }
+    if (!ran && organisation !== undefined) {
+      this.#parts.giveBack(organisation.id, this.#nowMs);
+    }
+    const kind = ran ? kindAfterSend(obstacle.kind) : obstacle.kind;
+    this.#pushRefusal(requestId, { ...obstacle, kind }, {
+      routeId: route.id,
+      service,
+      organisation: organisation?.id ?? "",
       attempts,
-      brokenAttempts,
+      heldMs: Math.round(this.#nowMs - request.arrivedMs),
+      why: obstacle.why,
     });
+    this.#forget(request);
+  }
+
+  #abort(request: RequestState, outcome: AttemptOutcome): void {
+    if (request.current === undefined) return;
+    this.effects.push({ type: "abort", requestId: request.requestId });
+    this.#finishAttempt(request, { outcome, status: 0 });
+  }
+
+  #forget({ requestId }: RequestState): void {
+    this.#state.requests.delete(requestId);
+  }
+
+  #pushRefusal(
+    requestId: number,
+    { kind, retryAfterMs }: Obstacle,
+    about: RefusalContext,
+  ): void {
+    const refusal = refusalFor(kind, this.#parts.random, { retryAfterMs });
+    this.effects.push({ type: "refuse", requestId, refusal, about });
   }
 }
--- a/src/core/retry/retry_budget.ts
+++ b/src/core/retry/retry_budget.ts
@@ -1,36 +1,71 @@
 /**
- * Bound on retries as a part of requests.
+ * Bound on repeated sends to the targets of a service, so that the sends of
+ * all hosts together stay below a part of the requests in any window.
  *
  * @module
  */
 
-const RETRIES_PER_REQUEST = 0.1;
-/** Retries that may follow a quiet time at once. */
-const MAX_SAVED = 20;
-
-/** Decides whether a retry may be made now. */
-export interface RetryLimit {
-  readonly available: boolean;
-  /** Counts the first attempt of a request. */
-  noteRequest(): void;
-  /** Counts a retry. */
-  take(): void;
+/** Parts into which a window is divided for counting. */
+const SLICES = 10;
+
+/** The bound as it is stated for all hosts together. */
+export interface RetryBounds {
+  /** Repeated sends per request. */
+  readonly ratio: number;
+  /** Repeated sends that are allowed besides in each window. */
+  readonly slack: number;
+  readonly windowMs: number;
 }
 
-/** Retries that one service may still make. */
-export class RetryBudget implements RetryLimit {
-  // A host with few requests may make some retries from the start.
-  #saved = MAX_SAVED / 2;
+/**
+ * Part of the bound that is used. The rest covers requests at the edges of
+ * windows and hosts that restart within one.
+ */
+const USED_PART = 0.6;
+
+/** Repeated sends of one host to one service. */
+export class RetryBudget {
+  #requests = new Float64Array(SLICES);
+  #repeats = new Float64Array(SLICES);
+  #slice = 0;
+  #sliceMs = -Infinity;
 
-  noteRequest(): void {
-    this.#saved = Math.min(MAX_SAVED, this.#saved + RETRIES_PER_REQUEST);
+  /** Counts a request for the service. */
+  noteRequest(bounds: RetryBounds, nowMs: number): void {
+    this.#advance(bounds, nowMs);
+    this.#requests[this.#slice] += 1;
   }
 
-  get available(): boolean {
-    return this.#saved >= 1;
+  /**
+   * Counts a repeated send if the bound allows it.
+   *
+   * @param hosts Number of hosts that share the slack, this one included.
+   */
+  take(bounds: RetryBounds, hosts: number, nowMs: number): boolean {
+    this.#advance(bounds, nowMs);
+    const allowed = bounds.ratio * sum(this.#requests) +
+      bounds.slack / Math.max(1, hosts);
+    if (sum(this.#repeats) + 1 > USED_PART * allowed) return false;
+    this.#repeats[this.#slice] += 1;
+    return true;
   }
 
-  take(): void {
-    this.#saved -= 1;
+  #advance({ windowMs }: RetryBounds, nowMs: number): void {
+    const lengthMs = windowMs / SLICES;
+    if (nowMs - this.#sliceMs > windowMs) {
+      this.#requests.fill(0);
+      this.#repeats.fill(0);
+      this.#sliceMs = nowMs;
+    }
+    while (nowMs - this.#sliceMs >= lengthMs) {
+      this.#sliceMs += lengthMs;
+      this.#slice = (this.#slice + 1) % SLICES;
+      this.#requests[this.#slice] = 0;
+      this.#repeats[this.#slice] = 0;
+    }
   }
 }
+
+function sum(values: Float64Array): number {
+  return values.reduce((a, b) => a + b, 0);
+}
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -7,11 +7,11 @@
 /** Returns a number from 0 up to 1. */
 export type Random = () => number;
 
-/** Identity of one run of a process. */
-export interface ProcessIdentity {
-  /** Host slot in the document. */
-  readonly hostId: string;
+/** Undoes a registration or closes what was opened. */
+export type Dispose = () => void;
+
+/** Where a process or a target runs. */
+export interface Place {
   readonly availabilityZone: string;
-  /** Differs between any two runs on the same slot. */
-  readonly incarnation: string;
+  readonly region: string;
 }
--- a/src/node/address.ts
+++ b/src/node/address.ts
@@ -1,5 +1,5 @@
 /**
- * Addresses of the form `ip:port`, and listening on them.
+ * Addresses of an IP number and a port.
  *
  * @module
  */
@@ -8,41 +8,34 @@
 
 /** An IP number and a port. */
 export interface Address {
-  readonly ip: string;
+  readonly host: string;
   readonly port: number;
 }
 
-/** Splits `ip:port`. */
-export function parseAddress(text: string): Address {
-  const colon = text.lastIndexOf(":");
-  return {
-    ip: text.slice(0, colon).replace(/^\[|\]$/g, ""),
-    port: Number(text.slice(colon + 1)),
-  };
+/** Splits an address such as `192.0.2.7:8080`. */
+export function parseAddress(address: string): Address {
+  const colon = address.lastIndexOf(":");
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, "");
+  return { host, port: Number(address.slice(colon + 1)) };
 }
 
 /**
  * Starts to listen.
  *
- * @param setting Name of the setting, for the error message.
- * @throws {ExitError} `addressInUse` when the address cannot be taken.
+ * @param field Field of the settings that holds the address.
+ * @throws {ExitError} `addressInUse`.
  */
 export function listen(
   server: Server,
   address: string,
-  setting: string,
+  field: string,
 ): Promise<void> {
-  const { ip, port } = parseAddress(address);
+  const { host, port } = parseAddress(address);
   return new Promise((resolve, reject) => {
     server.once("error", (error: NodeJS.ErrnoException) => {
-      reject(
-        new ExitError(
-          "addressInUse",
-          `cannot listen on ${address} (${error.code}): ` +
-            `free the address or change ${setting}`,
-        ),
-      );
+      const reason = `cannot listen on ${address} (${field}): ${error.message}`;
+      reject(new ExitError("addressInUse", reason));
     });
-    server.listen(port, ip, () => resolve());
+    server.listen(port, host, resolve);
   });
 }
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -3,63 +3,86 @@
  *
  * @module
  */
-import { randomBytes, timingSafeEqual } from "node:crypto";
-import { KeyTable } from "../../core/auth/keys.ts";
-import type { Document } from "../../core/document/schema.ts";
-import { refusalFor } from "../../core/errors.ts";
-import { targetValues } from "../../core/explain/host_values.ts";
-import type { PipelineParts } from "../../core/request/types.ts";
-import { RetryBudget } from "../../core/retry/retry_budget.ts";
-import type { EntrySettings } from "../../core/settings/schema.ts";
-import {
-  createDrainFacts,
-  drainHolds,
-  noteUndrains,
-} from "../../core/targets/drain_facts.ts";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { chooseHosts } from "../../core/lookup/choose_hosts.ts";
+import { Quotas } from "../../core/limits/quotas.ts";
+import { Membership } from "../../core/membership/membership.ts";
+import type {
+  CrashBlameNote,
+  HostReport,
+} from "../../core/membership/report.ts";
+import type { HostState } from "../../core/membership/types.ts";
+import { Releases } from "../../core/release/releases.ts";
+import { VersionCounts } from "../../core/release/version_counts.ts";
+import type { Obstacle } from "../../core/request/types.ts";
+import type { EntrySettings } from "../../core/settings/entry_settings.ts";
+import { StopPlan } from "../../core/stop/stop_plan.ts";
+import { RoundTrips } from "../../core/targets/round_trips.ts";
 import { TargetTable } from "../../core/targets/target_table.ts";
+import type { Place } from "../../core/types.ts";
 import { listen } from "../address.ts";
-import { ByteMeter } from "../byte_meter.ts";
 import { monotonicMs } from "../clock.ts";
-import { PeerClients } from "../peer/peer_clients.ts";
-import { type PeerHandlers, startPeerServer } from "../peer/peer_server.ts";
-import { PlatformClient } from "../platform/platform_client.ts";
+import {
+  applyCallerLimits,
+  createCallerServer,
+} from "../front/caller_server.ts";
+import {
+  createEndpointServer,
+  type EndpointHandler,
+} from "../front/own_endpoints.ts";
+import { createPeerServer } from "../peer/peer_service.ts";
+import { ReportExchange } from "../peer/report_exchange.ts";
+import type { ControlCodec } from "../store/control_codec.ts";
+import { type ObjectStore, StoreError } from "../store/object_store.ts";
+import { ConnectionPool } from "../target/connection_pool.ts";
 import { createLog } from "../telemetry/log.ts";
-import { createCallMetrics } from "../telemetry/call_metrics.ts";
 import { createMetrics } from "../telemetry/metrics.ts";
-import { createTracing } from "../telemetry/tracing.ts";
-import { Ticker } from "../ticker.ts";
-import { readPeerTls, readTlsFiles } from "../tls_files.ts";
-import { startEntryGauges } from "./entry_gauges.ts";
-import { createFleet } from "./fleet.ts";
-import { Forwarder } from "./forwarder.ts";
-import { HttpFront, sendJson } from "./http_front.ts";
-import { blameFact } from "./blame_facts.ts";
-import { createLookupService } from "./lookup_service.ts";
-import { adoptPeerWeights, serveWeights } from "./lookup_weights.ts";
-import { createOrders } from "./order_claims.ts";
-import { createOrderEndpoint } from "./order_endpoint.ts";
-import { addOwnEndpoints } from "./own_endpoints.ts";
-import { createOwnTargets } from "./own_targets.ts";
-import { createRefusalNotes } from "./refusal_notes.ts";
-import { sendRefusal } from "./refusals.ts";
-import { createRelaySender, readRelayed } from "./relay_http.ts";
-import { createRelayService } from "./relay_service.ts";
-import { createReleases } from "./releases.ts";
-import { createRoomReports } from "./room_reports.ts";
+import { loadTracing } from "../telemetry/tracing.ts";
+import type { WireNames } from "../wire_names.ts";
+import { ControlReader } from "./control_reader.ts";
+import { ControlState } from "./control_state.ts";
+import { ReleaseRunner } from "./release_runner.ts";
 import { RequestHandler } from "./request_handler.ts";
-import { createRequestMetrics } from "./request_metrics.ts";
-import { ServingState } from "./serving_state.ts";
-import { followConnections } from "./stop_connections.ts";
-import { createStopSequence } from "./stop_sequence.ts";
-import { createTargetProbes } from "./target_probes.ts";
+import { createRequestParts } from "./request_parts.ts";
+
+/** Time between two turns of periodic work. */
+const TURN_MS = 100;
+/** A longer gap between two turns means that the process did not run. */
+const PAUSE_MS = 700;
+/** Time for which a look-up answer may be kept, if the bound allows it. */
+const LOOKUP_TTL_MS = 2_000;
+/** Time for which a blame is reported to other hosts. */
+const BLAME_REPORT_MS = 5_000;
+/** Time between two attempts to register this host. */
+const REGISTER_RETRY_MS = 700;
+/** Time after which peers are asked when the store does not answer. */
+const ASK_SEEDS_MS = 400;
+
+/** What an entry host is given by its platform. */
+export interface EntryHostOptions {
+  readonly settings: () => EntrySettings;
+  readonly names: WireNames;
+  readonly codec: ControlCodec;
+  /** Creates the client of the store. */
+  readonly createStore: (
+    events: { onCall: (call: string, end: string) => void },
+  ) => ObjectStore;
+  /** Endpoints for look-ups, given how to answer one. */
+  readonly lookupEndpoints: (
+    answer: (caller: Place, hostName: string) => LookupAnswer,
+  ) => Readonly<Record<string, EndpointHandler>>;
+  /** Path of the readiness check. */
+  readonly readyPath: string;
+}
 
-/** Time that a new target waits for its first health answer. */
-const HEALTH_WAIT_MS = 2_000;
+/** Hosts that a caller should use. */
+export interface LookupAnswer {
+  readonly addresses: readonly string[];
+  readonly ttlMs: number;
+}
 
 /** A running entry host. */
 export interface EntryHost {
-  /** Resolves when a first document is in force. */
-  readonly configured: Promise<void>;
   /** Stops without cutting requests. */
   stop(): Promise<void>;
 }
@@ -70,327 +93,361 @@
  * @throws {ExitError} `addressInUse`.
  */
 export async function startEntryHost(
-  settings: EntrySettings,
+  options: EntryHostOptions,
 ): Promise<EntryHost> {
-  const log = createLog("entry");
+  const { names, codec } = options;
+  const settings = options.settings();
   const nowMs = monotonicMs;
   const random = Math.random;
-  const incarnation = randomBytes(8).toString("hex");
-  const startedOrder = Date.now();
+  const startedMs = Date.now();
+  const { host, listen: addresses } = settings;
   const self = {
-    hostId: settings.host.id,
-    availabilityZone: settings.host.availabilityZone,
-    address: settings.listen.address,
+    ...host,
+    callerAddress: addresses.callers,
+    peerAddress: addresses.peers,
   };
-  const metrics = createMetrics(settings.telemetry.statsdAddress, self.hostId);
-  const tracing = createTracing(settings.telemetry);
-  const sent = new ByteMeter();
-  const tls = readPeerTls(settings.peers.tls);
-  const platform = new PlatformClient({ ...settings.platform, sent });
-  const forwarder = new Forwarder();
-  const peers = new PeerClients({ sent, tls });
-  const serving = new ServingState();
-  const { every } = new Ticker();
-  const keys = new KeyTable({ equals: equalDigests });
+  const log = createLog({ host: host.id, zone: host.availabilityZone });
+  const metrics = createMetrics();
+  const tracing = await loadTracing(settings.telemetry.traceFile);
+  log.event("starting", { settings });
+
+  const store = options.createStore({
+    onCall: (call, end) => metrics.storeCalls.inc({ call, end }),
+  });
+  const membership = new Membership(self);
+  const targets = new TargetTable();
+  const counts = new VersionCounts();
+  const releases = new Releases(counts, () => options.settings().bounds);
+  const quotas = new Quotas({
+    windowMs: settings.bounds.quotaWindowMs,
+    excessPart: settings.bounds.quotaExcess,
+    slack: settings.bounds.quotaSlack,
+  }, { startsFull: settings.firstStart });
+  const roundTrips = new RoundTrips(host);
+  const stopPlan = new StopPlan(() => options.settings().bounds.graceMs);
+  const blocked = new Set<string>();
+  const blames: { note: CrashBlameNote; atMs: number }[] = [];
+  let sequence = 0;
 
-  let markConfigured = () => {};
-  const configured = new Promise<void>((resolve) => markConfigured = resolve);
-  const fleet = createFleet({
-    every,
-    settings,
-    incarnation,
-    startedOrder,
-    platform,
-    peers,
+  const pool = new ConnectionPool({
     nowMs,
-    random,
-    onDocument: (document, generation) => {
-      applyDocument(document, generation);
-      markConfigured();
+    onConnected(address, tookMs) {
+      metrics.connections.inc();
+      for (const { target } of targets.all()) {
+        if (target.address !== address) continue;
+        roundTrips.note(target, tookMs);
+        break;
+      }
     },
   });
-  const { facts } = fleet;
-  const liveHosts = () => fleet.liveHosts(nowMs());
-  const drainFacts = createDrainFacts();
-  const isDrainedByFact = (id: string, atMs: number) =>
-    drainHolds(drainFacts, id, facts.learnedMs("target_leaving", id, atMs));
-  const targets = new TargetTable({
-    ...self,
-    random,
-    isLeavingByFact: isDrainedByFact,
-    isVersionStopped: (service, version) =>
-      releases.choice.isStopped(service, version),
-    healthWaitMs: HEALTH_WAIT_MS,
-  });
-  const orders = createOrders({
-    owner: { hostId: self.hostId, incarnation },
-    platform,
-    peers,
-    liveHosts,
+  const control = new ControlState({
+    store,
     nowMs,
-  });
-  const releases = createReleases({
-    every,
-    facts,
-    onObject: fleet.onObject,
-    hostId: self.hostId,
-    incarnation,
     random,
-    nowMs,
+    log,
+    onNews: (kind, news) => reader.apply(kind, news),
+    onFirst: (kind) => log.event("objects_known", { kind }),
   });
-  const ownTargets = createOwnTargets(() => targets.listAvailability(nowMs()), {
-    nowMs,
-    hasFact: (id) => isDrainedByFact(id, nowMs()),
-  });
-  const roomReports = createRoomReports({
-    every,
-    rooms: fleet.rooms,
-    availabilityZone: self.availabilityZone,
-    startedOrder,
-    isAuthor: fleet.isAuthor,
-    listTargets: () => targets.listAvailability(nowMs()),
+  const reader = new ControlReader({
+    codec,
+    view: (kind) => control.view(kind),
+    storeHealth: () => control.health,
+    targets,
+    releases,
+    membership,
+    log,
     nowMs,
+    onDocument(document) {
+      parts.configure(document);
+      quotas.configure(document.organisations, nowMs());
+      applyCallerLimits(callerServer, document.limits);
+      metrics.documentVersion.set(document.version);
+      exchange.push();
+    },
+    onTargetLeaving: (address) => pool.closeIdle(address),
+    onHosts: followHosts,
   });
-  const lookup = createLookupService({
-    every,
-    nowMs,
-    candidates: () => [
-      ...(stopSequence.phase === "serving" ? [self] : []),
-      ...liveHosts().filter((host) => !host.leaving),
-    ],
-    liveHosts,
-    viewer: () => ({
-      hostId: self.hostId,
-      leaving: stopSequence.phase !== "serving",
-      fresh: fleet.isFresh(nowMs()),
+  const parts = createRequestParts({
+    place: host,
+    targets,
+    quotas,
+    releases,
+    counts,
+    random,
+    refusesAll,
+    evacuatedZones: () => reader.evacuatedZones,
+    coldSenders: () => ({
+      selfId: host.id,
+      hostIds: [host.id, ...readyPeers().map(({ id }) => id)],
     }),
-    roomOf: roomReports.roomOf,
-    noteRefusal: (refusal) => refusals.note(refusal),
-  });
-  const relays = createRelayService({
-    every,
-    ...self,
-    nowMs,
-    peers,
-    liveHosts,
-    measure: (service) => ownTargets.measure(service),
-    metrics,
-  });
-  const refusals = createRefusalNotes({
-    hostId: self.hostId,
-    sources: {
-      ...fleet.deciding,
-      targetsOf: (service, atMs) =>
-        targetValues(targets.listAvailability(atMs), service),
+    distance: () => ({
+      ...options.settings().distance,
+      regionRoundTripMs: roundTrips.regionMs,
+      zoneRoundTripMs: roundTrips.zoneMs,
+    }),
+    retryBounds: () => {
+      const { bounds } = options.settings();
+      return {
+        ratio: bounds.retryRatio,
+        slack: bounds.retrySlack,
+        windowMs: bounds.retryWindowMs,
+      };
     },
-    nowMs,
-    wallClockMs: Date.now,
+    hostCount: () => membership.addresses().length + 1,
+    isBlocked: (fingerprint) => blocked.has(fingerprint),
   });
-  const peerHandlers: PeerHandlers = {
-    ...fleet.handlers,
-    ...orders.peerHandlers,
-    ...releases.peerHandlers,
-    grantRoom: relays.grantRoom,
-  };
-
-  const parts: PipelineParts = {
-    findRoute: (method, path) => serving.findRoute(method, path),
-    findCredential: (sha256) => keys.find(sha256),
-    isRevoked: (keyId) => keys.isRevoked(keyId),
-    isFresh: (atMs) => fleet.isFresh(atMs),
-    isBlocked: (fingerprint, atMs) =>
-      facts.has("request_blocked", fingerprint, atMs),
-    createQueue: (service) => serving.createQueue(service),
-    admit: (organisation, atMs) => fleet.admit(organisation, atMs),
-    createRetryBudget: () => new RetryBudget(),
-    hasTargets: (service, atMs) => targets.hasTargets(service, atMs),
-    acquireTarget: (service, options, atMs) =>
-      targets.acquire(service, options, atMs),
-    releaseTarget: (id, outcome, atMs) => targets.release(id, outcome, atMs),
-    loadRatio: (id) => targets.loadRatio(id),
-    pickVersion: (service, routeId) =>
-      releases.choice.pickVersion(service, routeId),
-    observe: (observation, atMs) => releases.choice.observe(observation, atMs),
-    random,
-    ...relays.parts,
-  };
   const handler = new RequestHandler({
     parts,
-    forwarder,
-    orders,
-    metrics: createRequestMetrics(metrics),
+    pool,
+    names,
+    log,
+    metrics,
     tracing,
     nowMs,
-    noteRefusal: refusals.note,
-    relay: createRelaySender({
-      forwarder,
-      ownZone: self.availabilityZone,
-      tls,
-      takeBytes: relays.takeBytes,
-    }),
-    visitorOf: (req) => visitedZone(req.socket.remoteAddress),
-    onAnswered: ownTargets.noteAnswer,
-    checkTarget: (targetId) => probes.check(targetId),
-    publishBlame: (effect) => facts.add(blameFact(effect), nowMs()),
+    closesConnections: () => stopPlan.phase(nowMs()) !== "serving",
+    publishBlame({ fingerprint, targetId = "" }) {
+      noteBlame({ fingerprint, targetId });
+      exchange.push();
+    },
   });
-  const probes = createTargetProbes({
-    targets,
+  const exchange = new ReportExchange({
+    address: addresses.peers,
+    membership,
+    seeds: settings.seeds,
+    nowMs,
+    log,
+    metrics,
+    report,
+    onReport,
+  });
+  const releaseRunner = new ReleaseRunner({
+    releases,
+    membership,
+    control,
+    store,
+    codec,
+    log,
     nowMs,
-    onRefused: (targetId) =>
-      handler.dispatch({ type: "target_refused", targetId }),
+    push: () => exchange.push(),
+  });
+  const callerServer = createCallerServer((req, res) =>
+    handler.handle(req, res)
+  );
+  const lookupServer = createEndpointServer(
+    options.lookupEndpoints(answerLookup),
+  );
+  const ownServer = createEndpointServer({
+    [options.readyPath]: (_req, res) => answerReady(res),
+    "/metrics": answerMetrics,
+  });
+  const peerServer = createPeerServer({
+    deltaSince: (kind, revision) => control.deltaSince(kind, revision),
+    describe,
   });
 
-  /** Zone of a caller whose own zone has hosts, but none that is alive. */
-  function visitedZone(address: string | undefined): string | undefined {
-    const zone = lookup.zoneOf(address);
-    if (zone === undefined || zone === self.availabilityZone) return undefined;
-    const inZone = (host: { availabilityZone: string }) =>
-      host.availabilityZone === zone;
-    if (!serving.document?.entryHosts.some(inZone)) return undefined;
-    return liveHosts().some(inZone) ? undefined : zone;
+  function hostState(): HostState {
+    if (stopPlan.phase(nowMs()) !== "serving") return "leaving";
+    return reader.document === undefined ? "starting" : "ready";
   }
 
-  function applyDocument(document: Document, generation: number): void {
-    const isFirst = serving.document === undefined;
-    const revoked = keys.load(document);
-    noteUndrains(drainFacts, document, nowMs());
-    targets.load(document, nowMs());
-    probes.refresh();
-    forwarder.retain(new Set(document.targets.map(({ address }) => address)));
-    orders.configure(document);
-    releases.load(document);
-    lookup.load(document);
-    relays.load(document);
-    serving.load(document, generation);
-    if (isFirst) adoptPeerWeights(lookup, liveHosts(), tls);
-    for (const keyId of revoked) {
-      handler.dispatch({ type: "key_revoked", keyId });
-    }
+  function refusesAll(atMs: number): Obstacle | undefined {
+    const phase = stopPlan.phase(atMs);
+    return phase === "refusing" || phase === "ended"
+      ? { kind: "host_leaving", why: "this host is stopping" }
+      : undefined;
+  }
+
+  function readyPeers() {
+    return membership.live(nowMs()).filter(({ state }) => state === "ready");
   }
 
-  facts.onAdded(({ kind, subject }) => {
-    if (kind === "request_suspected") {
-      const [fingerprint, targetId] = subject.split(" ");
-      handler.dispatch({ type: "suspicion_learned", fingerprint, targetId });
+  function followHosts(): void {
+    quotas.setPeers(membership.addresses().map(({ id }) => id));
+  }
+
+  function report(): HostReport {
+    sequence += 1;
+    const atMs = nowMs();
+    return {
+      record: { ...self, startedMs, sequence, state: hostState() },
+      revisions: control.changedRevisions(),
+      demands: quotas.report(atMs),
+      counts: counts.own(releases.openServices()),
+      stopped: releases.stopped(),
+      blames: blames.filter((blame) => atMs - blame.atMs < BLAME_REPORT_MS)
+        .map(({ note }) => note),
+    };
+  }
+
+  const peerRevisions = new Map<string, HostReport>();
+
+  function onReport(peer: HostReport): void {
+    const { id } = peer.record;
+    if (!peerRevisions.has(id)) {
+      log.event("host_met", { peer: id, state: peer.record.state });
+      followHosts();
+    }
+    peerRevisions.set(id, peer);
+    quotas.notePeer(id, peer.demands, nowMs());
+    counts.setPeer(`${id} ${peer.record.startedMs}`, peer.counts);
+    for (const stopped of peer.stopped) {
+      if (releases.stop(stopped)) {
+        log.event("version_stopped", { ...stopped, from: id });
+      }
     }
-    if (kind === "key_revoked" && keys.revoke(subject)) {
-      handler.dispatch({ type: "key_revoked", keyId: subject });
+    for (const note of peer.blames) {
+      if (noteBlame(note) && note.targetId !== "") {
+        handler.dispatch({ type: "suspicion_learned", ...note });
+      }
     }
-  });
+  }
+
+  /** Remembers a blame. Returns whether it is news. */
+  function noteBlame(note: CrashBlameNote): boolean {
+    const known = blames.some((blame) =>
+      blame.note.fingerprint === note.fingerprint &&
+      blame.note.targetId === note.targetId
+    );
+    if (known) return false;
+    blames.push({ note, atMs: nowMs() });
+    if (note.targetId === "") blocked.add(note.fingerprint);
+    return true;
+  }
 
-  const front = new HttpFront({
-    limits: settings.listen.limits,
-    tls: settings.listen.tls && readTlsFiles(settings.listen.tls),
-    noteRefusal: refusals.note,
-    forward(req, res) {
-      if (serving.document === undefined) {
-        const refusal = refusalFor("host_starting", random);
-        const requestId = refusals.note(refusal);
-        return sendRefusal(res, refusal, { requestId });
+  function answerLookup(caller: Place, hostName: string): LookupAnswer {
+    const hosts = [
+      ...(hostState() === "ready" ? [self] : []),
+      ...readyPeers(),
+    ];
+    const preferredRegions = reader.document?.routes
+      .filter((route) => route.host === hostName)
+      .flatMap(({ homeRegions }) => homeRegions) ?? [];
+    const chosen = chooseHosts(hosts, caller, { preferredRegions });
+    const { maxLookupTtlMs } = options.settings().bounds;
+    metrics.lookups.inc({ answer: chosen.length > 0 ? "hosts" : "none" });
+    return {
+      addresses: chosen.map(({ callerAddress }) => callerAddress),
+      ttlMs: Math.min(LOOKUP_TTL_MS, maxLookupTtlMs),
+    };
+  }
+
+  function answerReady(res: ServerResponse): void {
+    res.writeHead(hostState() === "ready" ? 200 : 503, {
+      "content-length": "0",
+    });
+    res.end();
+  }
+
+  function answerMetrics(_req: IncomingMessage, res: ServerResponse): void {
+    metrics.liveHosts.set(membership.live(nowMs()).length);
+    metrics.inProgress.set(handler.inProgress);
+    metrics.storeAge.set(control.health.ageMs(nowMs()) / 1_000);
+    metrics.registry.metrics().then((text) => {
+      res.writeHead(200, { "content-type": metrics.registry.contentType });
+      res.end(text);
+    }, () => res.destroy());
+  }
+
+  function describe(): unknown {
+    const atMs = nowMs();
+    return {
+      host: self,
+      state: hostState(),
+      documentVersion: reader.document?.version,
+      storeAgeMs: Math.round(control.health.ageMs(atMs)),
+      liveHosts: membership.live(atMs).map(({ id, state }) => ({ id, state })),
+      evacuatedZones: [...reader.evacuatedZones],
+      stoppedVersions: releases.stopped(),
+      requestsInProgress: handler.inProgress,
+    };
+  }
+
+  async function register(): Promise<void> {
+    for (;;) {
+      try {
+        await store.put("hosts", host.id, codec.encodeHost(self));
+        control.noteAnswer();
+        return log.event("registered");
+      } catch (error) {
+        if (!(error instanceof StoreError)) throw error;
+        control.noteFailure(error.message);
+        if (stopPlan.phase(nowMs()) !== "serving") return;
+        await sleep(REGISTER_RETRY_MS * (0.5 + random()));
       }
-      handler.handle(req, res);
-    },
-  });
-  addOwnEndpoints(front, {
-    generation: () => serving.generation,
-    isFresh: () => fleet.isFresh(nowMs()),
-    describe: () => ({
-      host: settings.host,
-      incarnation,
-      inProgress: handler.inProgress,
-      targets: targets.describe(),
-      drains: ownTargets.drains(),
-      weights: lookup.weights(),
-      room: relays.describe(),
-      stop: stopSequence.phase,
-      fleet: fleet.describe(nowMs()),
-    }),
-  });
-  front.get("lookup", (req, res) => lookup.handle(req, res));
-  front.get(
-    "orders/:key",
-    createOrderEndpoint({
-      parts,
-      orders,
-      routes: () => serving.document?.routes ?? [],
-      nowMs,
-      noteRefusal: refusals.note,
-    }),
-  );
-  front.get("explain/:id", refusals.explain);
+    }
+  }
 
-  const peerServer = await startPeerServer(
-    settings.listen.peerAddress,
-    peerHandlers,
-    {
-      sent,
-      tls,
-      fallback(req, res) {
-        if (serveWeights(lookup, { req, res })) return;
-        const relayed = readRelayed(req, relays.takeBytes);
-        if (relayed === undefined) return sendJson(res, 404, {});
-        handler.handle(req, res, relayed);
-      },
-    },
-  );
-  const connections = followConnections(front.server);
-  const stopSequence = createStopSequence({
-    nowMs,
-    times: () => ({
-      ttlMs: serving.document?.lookup.ttlMs ?? 0,
-      ...settings.stop,
-    }),
-    inProgress: () => handler.inProgress,
-    publishLeaving: () => {
-      fleet.leave();
-      lookup.refresh();
-    },
-    endGrants: relays.endGrants,
-    answerClose: connections.answerClose,
-    stopAccepting: connections.stopAccepting,
-  });
-  await listen(front.server, settings.listen.address, "listen.address");
-  fleet.start();
-  const stopGauges = startEntryGauges({
-    every,
-    metrics,
-    intervalMs: settings.telemetry.gaugeIntervalMs,
-    inProgress: () => handler.inProgress,
-    generation: () => serving.generation,
-    isFresh: () => fleet.isFresh(nowMs()),
-    queueLengths: () => handler.queueLengths(),
-    targets: () => targets.listAvailability(nowMs()),
-    fleet: () => fleet.gauges(nowMs()),
-    sendCalls: createCallMetrics(metrics, { calls: platform.calls, sent }),
-  });
-  log(`listening on ${settings.listen.address}`);
+  /** Asks seeds for the document while the store does not answer. */
+  async function askSeeds(): Promise<void> {
+    while (reader.document === undefined) {
+      await sleep(ASK_SEEDS_MS);
+      for (const seed of settings.seeds) {
+        if (reader.document !== undefined || !control.health.isFailing) break;
+        if (seed !== self.peerAddress) await control.fetchFrom(seed);
+      }
+    }
+  }
+
+  let turnMs = nowMs();
+  const turns = setInterval(() => {
+    const atMs = nowMs();
+    const gapMs = atMs - turnMs;
+    turnMs = atMs;
+    if (gapMs > PAUSE_MS) {
+      log.warn("process_paused", { gapMs: Math.round(gapMs) });
+      membership.notePause(gapMs);
+    }
+    quotas.update(atMs);
+    reader.tick();
+    releaseRunner.tick();
+    pool.prune(atMs);
+    control.compare(
+      membership.live(atMs).map(({ id, peerAddress }) => ({
+        peerAddress,
+        revisions: peerRevisions.get(id)?.revisions ?? new Map(),
+      })),
+    );
+  }, TURN_MS);
+
+  await Promise.all([
+    listen(callerServer, addresses.callers, "listen.callers"),
+    listen(lookupServer, addresses.lookups, "listen.lookups"),
+    listen(ownServer, addresses.readiness, "listen.readiness"),
+    listen(peerServer, addresses.peers, "listen.peers"),
+    exchange.start(),
+  ]);
+  const stopFollowing = control.start();
+  register();
+  askSeeds();
+  log.event("listening", { callers: addresses.callers });
+
+  let stopping: Promise<void> | undefined;
+
+  async function runStop(): Promise<void> {
+    stopPlan.begin(nowMs());
+    log.event("stopping", { inProgress: handler.inProgress });
+    exchange.push();
+    store.remove("hosts", host.id).catch((error: Error) =>
+      log.event("not_deregistered", { reason: error.message })
+    );
+    while (!stopPlan.mayExit(handler.inProgress, nowMs())) await sleep(50);
+    clearInterval(turns);
+    stopFollowing();
+    exchange.close();
+    callerServer.closeIdleConnections();
+    pool.close();
+    store.close();
+    await tracing.close();
+    log.event("stopped", { inProgress: handler.inProgress });
+    log.close();
+    log.flush();
+  }
 
   return {
-    configured,
-    async stop() {
-      await stopSequence.run();
-      front.server.closeAllConnections();
-      stopGauges();
-      releases.dispose();
-      lookup.dispose();
-      roomReports.dispose();
-      relays.dispose();
-      fleet.dispose();
-      await orders.dispose();
-      peers.close();
-      await Promise.all([
-        peerServer.close(),
-        probes.dispose(),
-        forwarder.close(),
-        platform.close(),
-        metrics.close(),
-        tracing.close(),
-      ]);
-    },
+    stop: () => stopping ??= runStop(),
   };
 }
 
-function equalDigests(a: string, b: string): boolean {
-  return a.length === b.length &&
-    timingSafeEqual(Buffer.from(a), Buffer.from(b));
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- /dev/null
+++ b/src/node/entry/release_runner.ts
@@ -0,0 +1,98 @@
+/**
+ * Carries out what releases decide.
+ *
+ * @module
+ */
+import type { Membership } from "../../core/membership/membership.ts";
+import type { Releases } from "../../core/release/releases.ts";
+import type { ReleaseEffect } from "../../core/release/types.ts";
+import type { ControlCodec } from "../store/control_codec.ts";
+import { type ObjectStore, StoreError } from "../store/object_store.ts";
+import type { Log } from "../telemetry/log.ts";
+import type { ControlState } from "./control_state.ts";
+
+/** What a runner is built from. */
+export interface ReleaseRunnerOptions {
+  readonly releases: Releases;
+  readonly membership: Membership;
+  readonly control: ControlState;
+  readonly store: ObjectStore;
+  readonly codec: ControlCodec;
+  readonly log: Log;
+  readonly nowMs: () => number;
+  /** Tells other hosts at once. */
+  readonly push: () => void;
+}
+
+/** Runs releases. */
+export class ReleaseRunner {
+  readonly #options: ReleaseRunnerOptions;
+
+  constructor(options: ReleaseRunnerOptions) {
+    this.#options = options;
+  }
+
+  /** Evaluates all releases. Called a few times a second. */
+  tick(): void {
+    const { releases, membership, control, nowMs } = this.#options;
+    const at = nowMs();
+    const effects = releases.tick({
+      storeAgeMs: control.health.ageMs(at),
+      hearsMostHosts:
+        2 * (membership.live(at).length + 1) > membership.addresses().length,
+      writesFor: (service) => membership.holdsDuty(`release ${service}`, at),
+    }, at);
+    for (const effect of effects) this.#carryOut(effect);
+  }
+
+  #carryOut(effect: ReleaseEffect): void {
+    const { log, push } = this.#options;
+    switch (effect.type) {
+      case "stop":
+        log.event("version_stopped", {
+          service: effect.service,
+          version: effect.version,
+          reason: effect.reason,
+        });
+        return push();
+      case "share":
+        return log.event("version_share", {
+          service: effect.service,
+          version: effect.version,
+          share: effect.share,
+          reason: effect.reason,
+        });
+      case "write":
+        this.#write(effect);
+    }
+  }
+
+  async #write(
+    { order, outcome, reason }: Extract<ReleaseEffect, { type: "write" }>,
+  ): Promise<void> {
+    const { store, codec, log, control } = this.#options;
+    const fields = {
+      service: order.service,
+      version: order.version,
+      outcome,
+      reason,
+      revision: order.revision,
+    };
+    try {
+      const status = codec.encodeOutcome(order, outcome);
+      await store.putStatus(
+        "releases",
+        order.service,
+        status,
+        order.revision,
+      );
+      control.noteAnswer();
+      log.event("release_written", fields);
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      // The watch shows what is stored, so the next tick decides on that.
+      log.warn("release_not_written", { ...fields, error: error.message });
+      if (error.kind === "unanswered") control.noteFailure(error.message);
+    }
+  }
+}
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -1,390 +1,353 @@
 /**
- * Turns requests of callers into events of the pipeline and carries out its
- * effects.
+ * Turns what happens on sockets into events of the request pipeline and
+ * carries out its effects.
  *
  * @module
  */
-import { createHash, hash } from "node:crypto";
+import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import {
-  createPipeline,
-  type PipelineState,
-  reduceRequest,
-} from "../../core/request/pipeline.ts";
+import type { PipelineParts } from "../../core/request/parts.ts";
+import { createPipeline, reduceRequest } from "../../core/request/pipeline.ts";
 import type {
-  ClaimResult,
-  PipelineParts,
+  Arrival,
   RequestEffect,
   RequestEvent,
 } from "../../core/request/types.ts";
-import type { OpenSpan, Tracing } from "../telemetry/tracing.ts";
-import type { AttemptEvents, Forwarder } from "./forwarder.ts";
-import { headersForTarget, readCallerFields } from "./headers.ts";
+import type { Target } from "../../core/targets/types.ts";
 import {
-  type OrderExchange,
-  type OrderRequest,
-  sendReplay,
-} from "./order_exchange.ts";
-import type { NoteRefusal } from "./refusal_notes.ts";
-import { sendRefusal } from "./refusals.ts";
-import type {
-  RequestKind,
-  RequestMetrics,
-  RequestOutcome,
-} from "./request_metrics.ts";
-import type { RelayedRequest, RelaySender } from "./relay_http.ts";
-import { RequestBody } from "./request_body.ts";
+  startAnswer,
+  writeAnswer,
+  writeRefusal,
+} from "../front/answer_writer.ts";
+import { formatRequestHead, headerBytes } from "../front/headers.ts";
+import { RequestBody } from "../front/request_body.ts";
+import { Attempt } from "../target/attempt.ts";
+import type { ConnectionPool } from "../target/connection_pool.ts";
+import type { Log } from "../telemetry/log.ts";
+import type { Metrics } from "../telemetry/metrics.ts";
+import type { Tracing } from "../telemetry/tracing.ts";
+import type { WireNames } from "../wire_names.ts";
+import type { Exchange } from "./exchange.ts";
 
-type RelayEffect = Extract<RequestEffect, { type: "relay" }>;
-type ForwardEffect = Extract<RequestEffect, { type: "forward" }>;
-type RefuseEffect = Extract<RequestEffect, { type: "refuse" }>;
-type ClaimEffect = Extract<RequestEffect, { type: "claim" }>;
-type BlameEffect = Extract<RequestEffect, { type: "block" | "suspect" }>;
-type OrderEndedEffect = Extract<RequestEffect, { type: "order_ended" }>;
+/** Time between two looks at deadlines. */
+const TICK_MS = 25;
 
-/** Records orders before they run. */
-export interface OrderClaims {
-  claim(effect: ClaimEffect, request: OrderRequest): Promise<ClaimResult>;
-  ended(effect: OrderEndedEffect): void;
-  /** Bodies of a claimed order; `undefined` for other requests. */
-  exchangeOf(requestId: number): OrderExchange | undefined;
-}
+type SendEffect = Extract<RequestEffect, { type: "send" }>;
+type RefuseEffect = Extract<RequestEffect, { type: "refuse" }>;
 
-/** What a request handler is built from. */
+/** What a handler is built from. */
 export interface RequestHandlerOptions {
   readonly parts: PipelineParts;
-  readonly forwarder: Forwarder;
-  readonly orders: OrderClaims;
-  readonly metrics: RequestMetrics;
+  readonly pool: ConnectionPool;
+  readonly names: WireNames;
+  readonly log: Log;
+  readonly metrics: Metrics;
   readonly tracing: Tracing;
   readonly nowMs: () => number;
-  /** Probes a target at once. */
-  readonly checkTarget: (targetId: string) => void;
-  /** Publishes which requests crash targets or may do so. */
-  readonly publishBlame: (effect: BlameEffect) => void;
-  readonly noteRefusal: NoteRefusal;
-  /** Sends requests to hosts of other zones. */
-  readonly relay?: RelaySender;
-  /** The caller's zone when it has no live host and a cap applies. */
-  readonly visitorOf?: (req: IncomingMessage) => string | undefined;
-  /** A target answered a request whole. */
-  readonly onAnswered?: (service: string, tookMs: number) => void;
+  /** Whether callers should leave their connections. */
+  readonly closesConnections: () => boolean;
+  /** Tells other hosts about requests that crash targets. */
+  readonly publishBlame: (blame: {
+    readonly fingerprint: string;
+    /** Target that died; absent when the fingerprint is blocked. */
+    readonly targetId?: string;
+  }) => void;
 }
 
-const TICK: RequestEvent = { type: "tick" };
-const TICK_MS = 20;
-/** Time for a caller to read a refusal while it still sends its body. */
-const REFUSAL_READ_MS = 500;
-
-interface Exchange {
-  readonly req: IncomingMessage;
-  readonly res: ServerResponse;
-  readonly span: OpenSpan;
-  readonly key: string;
-  readonly relayed: RelayedRequest | undefined;
-  /** `undefined` without a body and until the route is known. */
-  body: RequestBody | undefined;
-  readonly startedMs: number;
-  kind: RequestKind;
-  outcome: RequestOutcome;
-  abort: (() => void) | undefined;
-}
-
-/** Handles the requests of callers on one host. */
+/** Requests in progress. */
 export class RequestHandler {
-  #options: RequestHandlerOptions;
-  #pipeline: PipelineState = createPipeline();
-  #exchanges = new Map<number, Exchange>();
+  readonly #options: RequestHandlerOptions;
+  readonly #state = createPipeline();
+  readonly #exchanges = new Map<number, Exchange>();
+  readonly #checking = new Set<string>();
   #nextId = 1;
-  #ticker: NodeJS.Timeout | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #onIdle: (() => void)[] = [];
 
   constructor(options: RequestHandlerOptions) {
     this.#options = options;
   }
 
-  /** Number of requests in progress. */
+  /** Number of requests that have no whole answer yet. */
   get inProgress(): number {
     return this.#exchanges.size;
   }
 
-  /** Number of waiting requests by service. */
-  queueLengths(): Map<string, number> {
-    const lengths = new Map<string, number>();
-    for (const [service, queue] of this.#pipeline.queues) {
-      lengths.set(service, queue.size);
-    }
-    return lengths;
+  /** Resolves when no request is in progress. */
+  whenIdle(): Promise<void> {
+    if (this.#exchanges.size === 0) return Promise.resolve();
+    return new Promise((resolve) => this.#onIdle.push(resolve));
   }
 
-  /** Handles one request, of a caller or relayed by another host. */
-  handle(
-    req: IncomingMessage,
-    res: ServerResponse,
-    relayed?: RelayedRequest,
-  ): void {
-    const requestId = this.#nextId++;
-    const url = relayed?.url ?? req.url ?? "/";
-    const query = url.indexOf("?");
-    const length = req.headers["content-length"];
-    const chunked = req.headers["transfer-encoding"] !== undefined;
-    const hasBody = chunked || (length !== undefined && length !== "0");
-    const { key, ...fields } = readCallerFields(req);
+  /** Handles a request of a caller. */
+  handle(req: IncomingMessage, res: ServerResponse): void {
+    const { names, nowMs, parts } = this.#options;
+    const id = this.#nextId++;
+    const callerId = singleHeader(req, names.requestId) ?? `local-${id}`;
     const exchange: Exchange = {
+      id,
+      callerId,
       req,
       res,
-      key,
-      relayed,
+      startedMs: nowMs(),
       body: undefined,
-      span: this.#options.tracing.startServerSpan("request", req.headers),
-      startedMs: this.#options.nowMs(),
-      kind: "none",
-      outcome: "answered",
-      abort: undefined,
+      attempt: undefined,
+      result: undefined,
+      routeId: "",
+      end: "",
     };
-    this.#exchanges.set(requestId, exchange);
-    // Deadlines and queues need ticks only while there are requests.
-    this.#ticker ??= setInterval(() => this.dispatch(TICK), TICK_MS);
-    res.once("close", () => this.#close(requestId));
-    this.dispatch({
-      type: "arrived",
-      requestId,
-      ...fields,
-      method: req.method ?? "GET",
-      path: query < 0 ? url : url.slice(0, query),
-      keySha256: key === "" ? "" : hash("sha256", key, "hex"),
-      contentLength: chunked ? -1 : Number(length ?? 0),
-      hasBody,
-      contentHash: hasBody ? "" : contentHash(url),
-      relayed: relayed?.identity,
-      visitorOf: relayed ? undefined : this.#options.visitorOf?.(req),
-    });
-    const request = this.#pipeline.requests.get(requestId);
-    if (request !== undefined) exchange.kind = request.route.kind;
-    if (hasBody && request !== undefined) {
-      exchange.body = new RequestBody(req, {
-        maxBytes: request.route.maxBodyBytes,
-        events: {
-          onStarted: (head) =>
-            this.dispatch({
-              type: "body_started",
-              requestId,
-              contentHash: contentHash(url, head),
-            }),
-          onTooLarge: () =>
-            this.dispatch({ type: "body_too_large", requestId }),
-        },
-      });
+    this.#exchanges.set(id, exchange);
+    this.#timer ??= setInterval(() => this.dispatch({ type: "tick" }), TICK_MS);
+    res.once("close", () => this.#close(exchange));
+    res.on("drain", () => exchange.attempt?.resumeStream());
+    this.dispatch({ type: "arrived", arrival: this.#arrivalOf(exchange) });
+    if (!this.#state.requests.has(id)) {
+      req.resume();
+      return;
     }
+    const maxBytes = parts.document()?.limits.maxBodyBytes ?? 0;
+    const body = new RequestBody(req, {
+      maxBytes,
+      onReady: () => this.#startBody(exchange, body),
+      onTooLarge: () =>
+        this.dispatch({ type: "body_too_large", requestId: id }),
+    });
+    exchange.body = body;
+    if (body.isEmpty) this.#startBody(exchange, body);
   }
 
-  /** Applies an event of the pipeline and carries out the effects. */
+  /** Applies an event and carries out the effects. */
   dispatch(event: RequestEvent): void {
     const { parts, nowMs } = this.#options;
-    const effects = reduceRequest(this.#pipeline, event, nowMs(), parts);
-    for (const effect of effects) this.#carryOut(effect);
+    for (const effect of reduceRequest(this.#state, event, nowMs(), parts)) {
+      this.#carryOut(effect);
+    }
+  }
+
+  #arrivalOf({ id, req }: Exchange): Arrival {
+    const { names } = this.#options;
+    const timeout = singleHeader(req, names.timeoutMs);
+    const timeoutMs = timeout === undefined ? 0 : Number(timeout);
+    const length = req.headers["content-length"];
+    return {
+      requestId: id,
+      method: req.method ?? "GET",
+      host: req.headers.host ?? "",
+      path: req.url ?? "/",
+      keyDigest: digestOfKey(req.headers.authorization),
+      objectKey: singleHeader(req, names.objectKey) ?? "",
+      timeoutMs: Number.isFinite(timeoutMs) ? Math.max(0, timeoutMs) : 0,
+      headerBytes: headerBytes(req.rawHeaders),
+      bodyBytes: length === undefined ? -1 : Number(length),
+      malformed: !Number.isFinite(timeoutMs),
+    };
+  }
+
+  #startBody({ id, req }: Exchange, body: RequestBody): void {
+    this.dispatch({
+      type: "body_ready",
+      requestId: id,
+      bytes: body.bytes,
+      contentHash: body.contentHash(req.method ?? "GET", req.url ?? "/"),
+    });
   }
 
   #carryOut(effect: RequestEffect): void {
-    const exchange = "requestId" in effect
-      ? this.#exchanges.get(effect.requestId)
-      : undefined;
+    if (effect.type === "check_target") return this.#checkTarget(effect.target);
+    if (effect.type === "block" || effect.type === "suspect") {
+      const { type, ...blame } = effect;
+      this.#options.log.event(`request_${type}`, blame);
+      return this.#options.publishBlame(blame);
+    }
+    const exchange = this.#exchanges.get(effect.requestId);
+    if (exchange === undefined) return;
     switch (effect.type) {
-      case "forward":
-        if (exchange !== undefined) this.#forward(effect, exchange);
-        return;
-      case "relay":
-        if (exchange !== undefined) this.#relay(effect, exchange);
-        return;
+      case "send":
+        return this.#send(effect, exchange);
+      case "deliver":
+        return this.#deliver(exchange);
       case "refuse":
-        if (exchange !== undefined) this.#refuse(effect, exchange);
-        return;
+        return this.#refuse(effect, exchange);
       case "abort":
-        exchange?.abort?.();
-        return;
-      case "check_target":
-        this.#options.checkTarget(effect.targetId);
-        return;
-      case "block":
-        this.#options.metrics.noteBlocked();
-        this.#options.publishBlame(effect);
-        return;
-      case "suspect":
-        this.#options.publishBlame(effect);
+        exchange.attempt?.abort();
+        exchange.attempt = undefined;
         return;
       case "break":
-        if (exchange !== undefined) exchange.outcome = "broken";
-        exchange?.res.destroy();
-        return;
-      case "claim":
-        if (exchange !== undefined) this.#claim(effect, exchange);
-        return;
-      case "replay":
-        if (exchange !== undefined) sendReplay(exchange.res, effect.answer);
-        return;
-      case "order_ended":
-        this.#options.orders.ended(effect);
+        exchange.end = "broken";
+        exchange.res.destroy();
     }
   }
 
-  #forward(effect: ForwardEffect, exchange: Exchange): void {
-    const { requestId, target, remainingMs } = effect;
-    const { req, res, key, body } = exchange;
-    const { tracing, forwarder, nowMs, onAnswered, metrics } = this.#options;
-    exchange.kind = effect.route.kind;
-    metrics.noteForward(effect);
-    const span = tracing.startClientSpan("forward", exchange.span);
-    span.span.setAttribute("target", target.id);
-    const own = {
-      host: target.address,
-      "x-deadline-ms": String(Math.max(1, Math.floor(remainingMs))),
-    };
-    tracing.inject(span, own);
+  #send(effect: SendEffect, exchange: Exchange): void {
+    const { target, route, organisation, remainingMs, decision } = effect;
+    const { req, id, callerId, body } = exchange;
+    const { names, pool, nowMs, log, metrics, tracing } = this.#options;
+    if (body === undefined) return;
+    exchange.routeId = route.id;
     const sentMs = nowMs();
-    const events = this.#eventsOf(effect, exchange, span);
-    const order = this.#options.orders.exchangeOf(requestId);
-    const abort = forwarder.forward({
-      method: req.method ?? "GET",
-      path: exchange.relayed?.url ?? req.url ?? "/",
-      takeBytes: exchange.relayed?.takeBytes,
-      res,
-      target,
-      body: order?.body ?? body?.openReader() ?? null,
-      order,
-      remainingMs,
-      newConnection: !effect.route.idempotent,
-      headers: headersForTarget(req.headers, { own, key }),
-      ...events,
-      onEnded: (end, status) => {
-        if (end === "answered") {
-          onAnswered?.(effect.route.service, nowMs() - sentMs);
-        }
-        events.onEnded(end, status);
+    const method = req.method ?? "GET";
+    const opened = body.open();
+    const span = tracing.startHop("attempt", req.headers.traceparent);
+    span.setAttribute("target", target.id);
+    const attempt = new Attempt({
+      address: target.address,
+      pool,
+      names,
+      nowMs,
+      request: {
+        method,
+        head: formatRequestHead(
+          { method, path: req.url ?? "/", rawHeaders: req.rawHeaders },
+          { remainingMs, targetId: target.id, organisation },
+          opened.framing,
+          names,
+        ),
+        requestId: callerId,
+        body: opened.body,
+        rest: opened.rest,
+        idempotent: route.idempotent,
+      },
+      events: {
+        onStreamStarted: (head) => {
+          this.dispatch({ type: "answer_started", requestId: id });
+          startAnswer(exchange.res, head, this.#answerOptions());
+        },
+        onStreamData: (chunk) => exchange.res.write(chunk),
+        onEnded: (result) => {
+          const { outcome, status } = result.end;
+          const tookMs = nowMs() - sentMs;
+          span.end(outcome);
+          metrics.attempts.inc({ service: target.service, outcome });
+          metrics.attemptSeconds.observe(
+            { service: target.service },
+            tookMs / 1_000,
+          );
+          log.request("attempt", {
+            request: callerId,
+            route: route.id,
+            target: target.id,
+            address: target.address,
+            version: target.version,
+            zone: target.availabilityZone,
+            documentVersion: this.#options.parts.document()?.version,
+            organisation,
+            ...decision,
+            remainingMs: Math.round(remainingMs),
+            outcome,
+            status,
+            detail: result.detail,
+            tookMs: Math.round(tookMs),
+          }, outcome !== "answered");
+          exchange.result = result;
+          exchange.attempt = undefined;
+          this.dispatch({
+            type: "attempt_ended",
+            requestId: id,
+            end: result.end,
+            sent: result.sent,
+            canResend: body.canResend,
+            answerBytes: result.answer?.body.length ?? 0,
+          });
+        },
       },
     });
-    exchange.abort = () => endAborted(span, abort);
+    exchange.attempt = attempt;
+    attempt.start();
   }
 
-  #relay(effect: RelayEffect, exchange: Exchange): void {
-    const { tracing, relay } = this.#options;
-    const { req, res, key, body } = exchange;
-    exchange.kind = effect.route.kind;
-    this.#options.metrics.noteRelay();
-    const span = tracing.startClientSpan("relay", exchange.span);
-    span.span.setAttribute("host", effect.room.hostId);
-    const trace: Record<string, string> = {};
-    tracing.inject(span, trace);
-    const order = this.#options.orders.exchangeOf(effect.requestId);
-    const abort = relay?.send(effect, {
-      req,
-      res,
-      key,
-      body: order?.body ?? body?.openReader() ?? null,
-      order,
-      trace,
-      ...this.#eventsOf(effect, exchange, span),
-    });
-    exchange.abort = () => endAborted(span, abort ?? (() => {}));
-  }
-
-  /** Passes what happens to an attempt on to the pipeline. */
-  #eventsOf(
-    { requestId, remainingMs }: ForwardEffect | RelayEffect,
-    { body }: Exchange,
-    span: OpenSpan,
-  ): AttemptEvents {
-    const { nowMs, orders } = this.#options;
-    const deadlineMs = nowMs() + remainingMs;
-    return {
-      onSendStarted: () => {
-        if (nowMs() >= deadlineMs) return false;
-        this.dispatch({ type: "send_started", requestId });
-        return true;
-      },
-      onAnswerStarted: () =>
-        this.dispatch({ type: "answer_started", requestId }),
-      onEnded: (end, status) => {
-        span.span.setAttribute("end", end);
-        span.span.end();
-        const keepsBody = orders.exchangeOf(requestId) !== undefined;
-        this.dispatch({
-          type: "attempt_ended",
-          requestId,
-          end,
-          status,
-          canResend: keepsBody || (body?.canResend ?? true),
-        });
-      },
-    };
+  #deliver(exchange: Exchange): void {
+    const { result, res } = exchange;
+    exchange.end = "answered";
+    if (result?.answer === undefined) res.end();
+    else writeAnswer(res, result.answer, this.#answerOptions());
   }
 
   #refuse({ refusal, about }: RefuseEffect, exchange: Exchange): void {
-    const { res, req } = exchange;
-    exchange.kind = about.routeKind;
-    exchange.outcome = "refused";
-    this.#options.metrics.noteRefused(refusal.kind);
+    const { res, req, callerId, body } = exchange;
+    const { log, metrics, parts, names } = this.#options;
+    exchange.end = refusal.kind;
+    exchange.routeId = about.routeId;
+    metrics.refusals.inc({ kind: refusal.kind });
+    log.request("refused", {
+      request: callerId,
+      kind: refusal.kind,
+      status: refusal.status,
+      ran: refusal.ran,
+      retryAfterMs: refusal.retryAfterMs,
+      documentVersion: parts.document()?.version,
+      path: req.url,
+      ...about,
+    }, true);
     if (res.headersSent || res.destroyed) return;
-    const toSender = exchange.relayed !== undefined;
-    const requestId = this.#options.noteRefusal(refusal, about);
-    const marks = { requestId, toSender };
-    if (req.complete) return sendRefusal(res, refusal, marks);
-    // The rest of a body is not wanted, but closing at once could keep the
-    // caller from reading the refusal.
-    res.setHeader("connection", "close");
-    exchange.body?.dispose();
-    sendRefusal(res, refusal, marks);
-    res.once("finish", () => {
-      req.resume();
-      setTimeout(() => req.destroy(), REFUSAL_READ_MS).unref();
+    body?.dispose();
+    writeRefusal(res, refusal, {
+      ...this.#answerOptions(),
+      extraHeaders: { [names.requestId]: callerId },
     });
   }
 
-  async #claim(effect: ClaimEffect, exchange: Exchange): Promise<void> {
-    const { requestId } = effect;
-    const { req, body } = exchange;
-    let result: ClaimResult;
-    try {
-      result = await this.#options.orders.claim(effect, {
-        method: req.method ?? "GET",
-        url: req.url ?? "/",
-        body: body?.openReader(),
+  /** A target that refuses a connection after a broken attempt has died. */
+  #checkTarget(target: Target): void {
+    const { pool, metrics, log } = this.#options;
+    if (this.#checking.has(target.id)) return;
+    this.#checking.add(target.id);
+    pool.closeIdle(target.address);
+    pool.open(target.address, (result) => {
+      this.#checking.delete(target.id);
+      const refused = result instanceof Error;
+      metrics.probes.inc({ result: refused ? "refused" : "connected" });
+      log.event("target_checked", { target: target.id, refused });
+      if (refused) {
+        return this.dispatch({ type: "target_refused", targetId: target.id });
+      }
+      const { nowMs } = this.#options;
+      pool.giveBack(target.address, result, {
+        keepAliveMs: -1,
+        nowMs: nowMs(),
       });
-    } catch {
-      result = { type: "unavailable" };
-    }
-    this.#options.metrics.noteClaim(result.type);
-    this.dispatch({ type: "claim_settled", requestId, result });
+    });
   }
 
-  #close(requestId: number): void {
-    const exchange = this.#exchanges.get(requestId);
-    if (exchange === undefined) return;
-    const { res, span, startedMs, body } = exchange;
-    if (!res.writableFinished) {
-      if (exchange.outcome === "answered") exchange.outcome = "left";
-      this.dispatch({ type: "caller_gone", requestId });
-    }
-    body?.dispose();
-    this.#exchanges.delete(requestId);
-    if (this.#exchanges.size === 0) {
-      clearInterval(this.#ticker);
-      this.#ticker = undefined;
+  #answerOptions() {
+    return { closes: this.#options.closesConnections() };
+  }
+
+  #close(exchange: Exchange): void {
+    const { id, res, callerId, startedMs, routeId, req } = exchange;
+    const { nowMs, metrics, log } = this.#options;
+    this.#exchanges.delete(id);
+    const tookMs = nowMs() - startedMs;
+    if (!res.writableFinished && exchange.end !== "broken") {
+      exchange.end = "caller_left";
+      this.dispatch({ type: "caller_gone", requestId: id });
+      log.request("caller_left", {
+        request: callerId,
+        route: routeId,
+        path: req.url,
+        tookMs: Math.round(tookMs),
+      }, true);
     }
-    span.span.setAttribute("status", res.statusCode);
-    span.span.end();
-    const { metrics, nowMs } = this.#options;
-    metrics.noteEnd(exchange, nowMs() - startedMs);
+    exchange.attempt?.abort();
+    exchange.body?.dispose();
+    metrics.requests.inc({ route: routeId, end: exchange.end });
+    metrics.requestSeconds.observe({ route: routeId }, tookMs / 1_000);
+    if (this.#exchanges.size > 0) return;
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+    for (const resolve of this.#onIdle.splice(0)) resolve();
   }
 }
 
-function endAborted({ span }: OpenSpan, abort: () => void): void {
-  span.setAttribute("end", "aborted");
-  span.end();
-  abort();
+const BEARER = /^Bearer +(\S+) *$/i;
+
+/** Digest of a caller's key in hex; "" without one. */
+function digestOfKey(authorization: string | undefined): string {
+  const match = BEARER.exec(authorization ?? "");
+  if (match === null) return "";
+  return createHash("sha256").update(match[1]).digest("hex");
 }
 
-/** Hash of the part of a request that its fingerprint covers. */
-function contentHash(url: string, head?: Buffer): string {
-  if (head === undefined) return hash("sha256", url, "hex").slice(0, 32);
-  const digest = createHash("sha256").update(url).update("\0").update(head);
-  return digest.digest("hex").slice(0, 32);
+function singleHeader(req: IncomingMessage, name: string): string | undefined {
+  const value = req.headers[name];
+  return Array.isArray(value) ? value[0] : value;
 }
--- /dev/null
+++ b/src/node/entry/request_parts.ts
@@ -0,0 +1,187 @@
+/**
+ * Connects the request pipeline with what an entry host knows.
+ *
+ * @module
+ */
+import { KeyTable } from "../../core/auth/keys.ts";
+import { findLateness } from "../../core/balance/admission.ts";
+import {
+  chooseTarget,
+  type DistanceCosts,
+} from "../../core/balance/choose_target.ts";
+import { NearWeights } from "../../core/balance/near_weight.ts";
+import { Splitter } from "../../core/balance/split.ts";
+import { usableTargets } from "../../core/balance/usable_targets.ts";
+import type { Document, Route, Service } from "../../core/document/document.ts";
+import { RouteTable } from "../../core/document/route_table.ts";
+import type { Quotas } from "../../core/limits/quotas.ts";
+import type { Releases } from "../../core/release/releases.ts";
+import type { VersionRule } from "../../core/release/types.ts";
+import type { VersionCounts } from "../../core/release/version_counts.ts";
+import type { PipelineParts } from "../../core/request/parts.ts";
+import type { Obstacle, RequestState } from "../../core/request/types.ts";
+import {
+  type RetryBounds,
+  RetryBudget,
+} from "../../core/retry/retry_budget.ts";
+import type { ColdSenders } from "../../core/targets/cold_limit.ts";
+import { ServiceTimes } from "../../core/targets/service_times.ts";
+import type {
+  TargetState,
+  TargetTable,
+} from "../../core/targets/target_table.ts";
+import type { Place, Random } from "../../core/types.ts";
+
+/** Weight of one answer in the mean size of a route's answers. */
+const SIZE_WEIGHT = 0.05;
+/** Assumed size of a request with its answer before the first one. */
+const DEFAULT_BYTES = 1_024;
+/** Assumed objective of a route without one, in milliseconds. */
+const DEFAULT_OBJECTIVE_MS = 500;
+
+/** What the parts are built from. */
+export interface RequestPartsOptions {
+  readonly place: Place;
+  readonly targets: TargetTable;
+  readonly quotas: Quotas;
+  readonly releases: Releases;
+  readonly counts: VersionCounts;
+  readonly random: Random;
+  readonly refusesAll: (nowMs: number) => Obstacle | undefined;
+  readonly evacuatedZones: () => ReadonlySet<string>;
+  readonly coldSenders: () => ColdSenders;
+  readonly distance: () => DistanceCosts;
+  readonly retryBounds: () => RetryBounds;
+  /** Number of hosts that take requests, this one included. */
+  readonly hostCount: () => number;
+  readonly isBlocked: (fingerprint: string) => boolean;
+}
+
+/** Parts that follow the document. */
+export interface RequestParts extends PipelineParts {
+  /** Takes over a document. */
+  configure(document: Document): void;
+}
+
+/** Creates the parts. */
+export function createRequestParts(options: RequestPartsOptions): RequestParts {
+  const { targets, quotas, releases, counts } = options;
+  const times = new ServiceTimes();
+  const splitter = new Splitter();
+  const budgets = new Map<string, RetryBudget>();
+  const nearWeights = new NearWeights();
+  /** Mean bytes of requests with their answers, and of answers alone. */
+  const sizes = new Map<string, { allBytes: number; answerBytes: number }>();
+  let document: Document | undefined;
+  let routes = new RouteTable([]);
+  let keys = new KeyTable([]);
+  let services = new Map<string, Service>();
+
+  function budgetOf(service: string): RetryBudget {
+    let budget = budgets.get(service);
+    if (budget === undefined) {
+      budget = new RetryBudget();
+      budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  function usableUnder(
+    request: RequestState,
+    rule: VersionRule,
+    nowMs: number,
+  ): TargetState[] {
+    const { service, route, organisation, tried } = request;
+    return usableTargets(targets.ofService(service), {
+      route,
+      organisation,
+      tried,
+      rule,
+      evacuatedZones: options.evacuatedZones(),
+      coldRatePerS: services.get(service)?.coldRatePerS ?? 0,
+      coldSenders: options.coldSenders,
+    }, nowMs);
+  }
+
+  return {
+    configure(next) {
+      document = next;
+      routes = new RouteTable(next.routes);
+      keys = new KeyTable(next.organisations);
+      services = new Map(next.services.map((one) => [one.id, one]));
+    },
+    document: () => document,
+    refusesAll: options.refusesAll,
+    findRoute: (host, path) => routes.find(host, path),
+    findOrganisation: (digest) => keys.find(digest),
+    needsKeys: () => (document?.organisations.length ?? 0) > 0,
+    admit: (id, nowMs) => quotas.admit(id, nowMs),
+    giveBack: (id, nowMs) => quotas.giveBack(id, nowMs),
+    pickService: (route, objectHash) => splitter.pick(route, objectHash),
+    usableTargets(request, nowMs) {
+      const { service, route, unit } = request;
+      const rule = releases.ruleFor(service, route.id, unit);
+      const usable = usableUnder(request, rule, nowMs);
+      if (usable.length > 0) return usable;
+      // A new version without a usable target leaves its part to the others.
+      const rest = releases.ruleFor(service, route.id, 1);
+      return usableUnder(request, rest, nowMs);
+    },
+    chooseTarget(usable, { keyHash, route, bodyBytes }, nowMs) {
+      const costs = options.distance();
+      const { allBytes, answerBytes } = sizeOf(route.id);
+      const objectiveMs = route.objectiveMs || DEFAULT_OBJECTIVE_MS;
+      const gainMs = costs.regionRoundTripMs +
+        costs.regionMsPerKib * allBytes / 1_024;
+      return chooseTarget(
+        usable,
+        {
+          keyHash,
+          expected: expectedTime(route),
+          objectiveMs,
+          bytes: bodyBytes + answerBytes,
+          nearWeight: nearWeights.weightOf(route.id, gainMs, objectiveMs),
+          from: options.place,
+        },
+        costs,
+        nowMs,
+      );
+    },
+    beginAttempt: (request, state, nowMs) =>
+      targets.begin(state, request.keyHash, nowMs),
+    endAttempt: (flight, end, nowMs) => targets.end(flight, end, nowMs),
+    noteVersion({ service, route }, { target }, { bad }) {
+      const { version } = target;
+      counts.note({ service, routeId: route.id, version }, bad);
+    },
+    expectedTime,
+    noteTime: (route, workMs, { warm }) => times.note(route, workMs, { warm }),
+    noteAnswerBytes({ route, bodyBytes }, bytes) {
+      const known = sizeOf(route.id);
+      const { allBytes, answerBytes } = known;
+      known.allBytes += SIZE_WEIGHT * (bodyBytes + bytes - allBytes);
+      known.answerBytes += SIZE_WEIGHT * (bytes - answerBytes);
+    },
+    noteRequest: (service, nowMs) =>
+      budgetOf(service).noteRequest(options.retryBounds(), nowMs),
+    takeRetry: (service, nowMs) =>
+      budgetOf(service).take(options.retryBounds(), options.hostCount(), nowMs),
+    isBlocked: options.isBlocked,
+    tooLate: ({ deadlineMs }, candidate, nowMs) =>
+      findLateness({ candidate, remainingMs: deadlineMs - nowMs }),
+    random: options.random,
+  };
+
+  function sizeOf(routeId: string) {
+    let size = sizes.get(routeId);
+    if (size === undefined) {
+      size = { allBytes: DEFAULT_BYTES, answerBytes: DEFAULT_BYTES };
+      sizes.set(routeId, size);
+    }
+    return size;
+  }
+
+  function expectedTime({ id, objectiveMs }: Route) {
+    return times.expected(id, objectiveMs);
+  }
+}
--- /dev/null
+++ b/src/node/peer/peer_calls.ts
@@ -0,0 +1,93 @@
+/**
+ * connect-es side of the calls between hosts.
+ *
+ * @module
+ */
+import type { RequestListener } from "node:http";
+import { createClient } from "@connectrpc/connect";
+import {
+  connectNodeAdapter,
+  createConnectTransport,
+} from "@connectrpc/connect-node";
+import type { Kind, KindDelta } from "../../core/store/types.ts";
+import { PeerService } from "../../gen/cranberryhoist/v1/peer_pb.ts";
+import type { PeerHandlers } from "./peer_service.ts";
+import { isKind } from "./report_codec.ts";
+
+/** Creates the handler of calls. */
+export function createPeerListener(handlers: PeerHandlers): RequestListener {
+  return connectNodeAdapter({
+    routes: (router) =>
+      router.service(PeerService, {
+        fetchObjects: ({ positions }) => ({
+          deltas: positions.filter(({ kind }) => isKind(kind))
+            .map(({ kind, revision }) => {
+              const delta = handlers.deltaSince(kind as Kind, revision);
+              return {
+                kind,
+                whole: delta.whole,
+                removed: [...delta.removed],
+                revision: delta.revision,
+                objects: delta.objects.map((object) => ({
+                  name: object.name,
+                  revision: object.revision,
+                  specification: toJson(object.specification),
+                  status: toJson(object.status),
+                })),
+              };
+            }),
+        }),
+        describe: () => ({ description: JSON.stringify(handlers.describe()) }),
+      }),
+  }) as RequestListener;
+}
+
+/** Fetches what a peer holds beyond own positions. */
+export async function fetchObjects(
+  peerAddress: string,
+  positions: ReadonlyMap<Kind, number>,
+  timeoutMs: number,
+): Promise<Map<Kind, KindDelta>> {
+  const answer = await clientOf(peerAddress).fetchObjects({
+    positions: [...positions].map(([kind, revision]) => ({ kind, revision })),
+  }, { timeoutMs });
+  return new Map(
+    answer.deltas.filter(({ kind }) => isKind(kind)).map((delta) => [
+      delta.kind as Kind,
+      {
+        whole: delta.whole,
+        removed: delta.removed,
+        revision: delta.revision,
+        objects: delta.objects.map((object) => ({
+          name: object.name,
+          revision: object.revision,
+          specification: JSON.parse(object.specification),
+          status: JSON.parse(object.status),
+        })),
+      },
+    ]),
+  );
+}
+
+/** Asks a host what it knows. */
+export async function describeHost(
+  peerAddress: string,
+  timeoutMs: number,
+): Promise<unknown> {
+  const answer = await clientOf(peerAddress).describe({}, { timeoutMs });
+  return JSON.parse(answer.description);
+}
+
+function clientOf(peerAddress: string) {
+  return createClient(
+    PeerService,
+    createConnectTransport({
+      baseUrl: `http://${peerAddress}`,
+      httpVersion: "1.1",
+    }),
+  );
+}
+
+function toJson(value: unknown): string {
+  return JSON.stringify(value ?? null);
+}
--- /dev/null
+++ b/src/node/telemetry/file_tracing.ts
@@ -0,0 +1,63 @@
+/**
+ * Spans that are written to a file, one JSON line each.
+ *
+ * @module
+ */
+import { appendFile } from "node:fs";
+import { propagation, ROOT_CONTEXT, SpanKind } from "@opentelemetry/api";
+import { W3CTraceContextPropagator } from "@opentelemetry/core";
+import {
+  BatchSpanProcessor,
+  NodeTracerProvider,
+  type ReadableSpan,
+  type SpanExporter,
+} from "@opentelemetry/sdk-trace-node";
+import type { Tracing } from "./tracing.ts";
+
+/** Creates tracing to a file. */
+export function createFileTracing(path: string): Tracing {
+  const provider = new NodeTracerProvider({
+    spanProcessors: [new BatchSpanProcessor(createFileExporter(path))],
+  });
+  propagation.setGlobalPropagator(new W3CTraceContextPropagator());
+  const tracer = provider.getTracer("cranberryhoist");
+  return {
+    startHop(name, traceparent) {
+      const parent = propagation.extract(ROOT_CONTEXT, { traceparent });
+      const span = tracer.startSpan(name, { kind: SpanKind.CLIENT }, parent);
+      return {
+        setAttribute: (key, value) => span.setAttribute(key, value),
+        end(outcome) {
+          span.setAttribute("outcome", outcome);
+          span.end();
+        },
+      };
+    },
+    close: () => provider.shutdown(),
+  };
+}
+
+function createFileExporter(path: string): SpanExporter {
+  return {
+    export(spans, done) {
+      const lines = spans.map((span) => JSON.stringify(describeSpan(span)));
+      appendFile(path, lines.join("\n") + "\n", (error) => {
+        done({ code: error === null ? 0 : 1, error: error ?? undefined });
+      });
+    },
+    shutdown: () => Promise.resolve(),
+  };
+}
+
+function describeSpan(span: ReadableSpan) {
+  const { traceId, spanId } = span.spanContext();
+  return {
+    traceId,
+    spanId,
+    parentSpanId: span.parentSpanContext?.spanId,
+    name: span.name,
+    startS: span.startTime[0] + span.startTime[1] / 1e9,
+    durationMs: span.duration[0] * 1_000 + span.duration[1] / 1e6,
+    attributes: span.attributes,
+  };
+}
--- a/src/node/telemetry/metrics.ts
+++ b/src/node/telemetry/metrics.ts
@@ -1,89 +1,90 @@
 /**
- * Counters and timings, sent by hot-shots.
+ * Counters and histograms of a process, served as text.
  *
  * @module
  */
-import HotShots from "hot-shots";
-import { parseAddress } from "../address.ts";
-import type { MetricName } from "./metric_names.ts";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
-/** A counter whose name and tags are fixed, for the request path. */
-export interface Counter {
-  value: number;
-}
-
-/** Time between two sendings of counters in milliseconds. */
-const FLUSH_MS = 1_000;
+/** Bounds of the latency histograms, in seconds. */
+const LATENCY_BUCKETS_S = [
+  0.005,
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.15,
+  0.25,
+  0.4,
+  0.6,
+  0.8,
+  1,
+  1.5,
+  2.5,
+  4,
+  8,
+];
 
-/** Where counters and timings go. */
-export interface Metrics {
-  /**
-   * Returns a counter for code that runs often: adding to it costs no call.
-   * What was added is sent each second.
-   */
-  counter(name: MetricName, tags?: Record<string, string>): Counter;
-  /** Adds to a counter. */
-  count(name: MetricName, value?: number, tags?: Record<string, string>): void;
-  /** Sets a gauge. */
-  gauge(name: MetricName, value: number, tags?: Record<string, string>): void;
-  /** Records a time in milliseconds. */
-  timing(name: MetricName, ms: number, tags?: Record<string, string>): void;
-  /** Sends what is buffered and closes the socket. */
-  close(): Promise<void>;
-}
+/** All metrics of an entry host. */
+export type Metrics = ReturnType<typeof createMetrics>;
 
-/** Metrics that go nowhere. */
-export const noMetrics: Metrics = {
-  counter: () => ({ value: 0 }),
-  count() {},
-  gauge() {},
-  timing() {},
-  close: () => Promise.resolve(),
-};
-
-/** Creates metrics for an address; without one they go nowhere. */
-export function createMetrics(
-  statsdAddress: string | undefined,
-  hostId: string,
-): Metrics {
-  if (statsdAddress === undefined) return noMetrics;
-  const { ip, port } = parseAddress(statsdAddress);
-  const client = new HotShots({
-    host: ip,
-    port,
-    prefix: "cranberryhoist.",
-    globalTags: { host: hostId },
-    maxBufferSize: 1_400,
-    errorHandler: () => {},
-  });
-  const counters = new Map<string, Counter & { send(): void }>();
-  const flush = () => {
-    for (const counter of counters.values()) counter.send();
-  };
-  const timer = setInterval(flush, FLUSH_MS);
-  timer.unref();
+/** Creates the metrics of one process. */
+export function createMetrics() {
+  const registry = new Registry();
+  const registers = [registry];
+  const counter = (name: string, help: string, labelNames: string[] = []) =>
+    new Counter({
+      name: `cranberryhoist_${name}`,
+      help,
+      labelNames,
+      registers,
+    });
+  const gauge = (name: string, help: string, labelNames: string[] = []) =>
+    new Gauge({ name: `cranberryhoist_${name}`, help, labelNames, registers });
+  const histogram = (name: string, help: string, labelNames: string[] = []) =>
+    new Histogram({
+      name: `cranberryhoist_${name}`,
+      help,
+      labelNames,
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    });
   return {
-    counter(name, tags = {}) {
-      const key = `${name} ${JSON.stringify(tags)}`;
-      const known = counters.get(key);
-      if (known !== undefined) return known;
-      const counter = {
-        value: 0,
-        send() {
-          if (counter.value > 0) client.increment(name, counter.value, tags);
-          counter.value = 0;
-        },
-      };
-      counters.set(key, counter);
-      return counter;
-    },
-    count: (name, value = 1, tags = {}) => client.increment(name, value, tags),
-    gauge: (name, value, tags = {}) => client.gauge(name, value, tags),
-    timing: (name, ms, tags = {}) => client.timing(name, ms, tags),
-    close() {
-      clearInterval(timer);
-      flush();
-      return new Promise((resolve) => client.close(() => resolve()));
-    },
+    registry,
+    requests: counter("requests_total", "Requests by end", ["route", "end"]),
+    refusals: counter("refusals_total", "Refusals by kind", ["kind"]),
+    attempts: counter("attempts_total", "Attempts on targets by outcome", [
+      "service",
+      "outcome",
+    ]),
+    requestSeconds: histogram(
+      "request_seconds",
+      "Time from a request's head to the end of its answer",
+      ["route"],
+    ),
+    attemptSeconds: histogram(
+      "attempt_seconds",
+      "Time from the start to the end of an attempt on a target",
+      ["service"],
+    ),
+    connections: counter(
+      "target_connections_total",
+      "Connections opened to targets",
+    ),
+    probes: counter("target_probes_total", "Connection trials of targets", [
+      "result",
+    ]),
+    lookups: counter("lookups_total", "Look-ups by answer", ["answer"]),
+    storeCalls: counter("store_calls_total", "Calls to the store by end", [
+      "call",
+      "end",
+    ]),
+    peerMessages: counter("peer_messages_total", "Datagrams between hosts", [
+      "direction",
+    ]),
+    liveHosts: gauge("live_hosts", "Other hosts that are alive"),
+    targets: gauge("targets", "Known targets", ["service"]),
+    inProgress: gauge("requests_in_progress", "Requests in progress"),
+    documentVersion: gauge("document_version", "Version in force"),
+    storeAge: gauge("store_age_seconds", "Age of the store's last answer"),
   };
 }
--- a/src/testing/fault_proxy.ts
+++ b/src/testing/fault_proxy.ts
@@ -64,8 +64,8 @@
 
   #accept(client: Socket): void {
     if (this.#fault.cut) return dropSocket(client);
-    const { ip, port } = parseAddress(this.#target);
-    const server = connect({ host: ip, port });
+    const { host, port } = parseAddress(this.#target);
+    const server = connect({ host, port });
     client.on("data", (chunk: Buffer) => this.onBytesToServer(chunk));
     server.on("data", (chunk: Buffer) => this.onBytesToClient(chunk));
     for (const socket of [client, server]) {
--- a/src/testing/snapshot.ts
+++ b/src/testing/snapshot.ts
@@ -21,7 +21,7 @@
  */
 export async function openSnapshots(moduleUrl: string): Promise<MatchSnapshot> {
   const compiled = fileURLToPath(moduleUrl);
-  const source = compiled.replace("/dist/", "/src/").replace(/\.js$/, ".ts");
+  const source = compiled.replace("/dist/", "/").replace(/\.js$/, ".ts");
   const mayWrite = process.env.UPDATE_SNAPSHOTS === "1" &&
     process.env.CI === undefined;
   const client = new SnapshotClient();
