--- /dev/null
+++ b/src/node/target/response_parser_test.ts
@@ -0,0 +1,113 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { openSnapshots } from "../../testing/snapshot.ts";
+import { ResponseParser } from "./response_parser.ts";
+
+const matchSnapshot = await openSnapshots(import.meta.url);
+
+/** Parses bytes and describes what the parser told. */
+function parse(
+  text: string,
+  options: { method?: string; cuts?: readonly number[]; close?: boolean } = {},
+): string[] {
+  const { method = "GET", cuts = [], close = false } = options;
+  const told: string[] = [];
+  let body = "";
+  const parser = new ResponseParser({
+    onHead: ({ status, framing, closes, keepAliveMs }) =>
+      told.push(`${status} ${framing} closes=${closes} idle=${keepAliveMs}`),
+    onBody: (chunk) => body += chunk.toString("latin1"),
+    onEnd: () => {
+      told.push(`end '${body}'`);
+      body = "";
+    },
+  });
+  parser.method = method;
+  const bytes = Buffer.from(text, "latin1");
+  const ends = [...new Set([...cuts, bytes.length])].sort((a, b) => a - b);
+  try {
+    let from = 0;
+    for (const end of ends) {
+      parser.push(bytes.subarray(from, end));
+      from = end;
+    }
+    if (close) parser.close();
+    told.push(parser.isBetweenAnswers ? "between answers" : "within an answer");
+  } catch (error) {
+    told.push((error as Error).message);
+  }
+  return told;
+}
+
+const OK = "HTTP/1.1 200 OK\r\n";
+
+const CASES: Record<string, Parameters<typeof parse>> = {
+  "a length": [`${OK}Content-Length: 3\r\nKeep-Alive: timeout=5\r\n\r\nabc`],
+  "chunks with trailers": [
+    `${OK}Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n1\r\nc\r\n0\r\nT: 1\r\n\r\n`,
+  ],
+  "until the connection ends": [`${OK}\r\nabc`, { close: true }],
+  "an interim answer first": [
+    `HTTP/1.1 100 Continue\r\n\r\n${OK}Content-Length: 0\r\n\r\n`,
+  ],
+  "two answers": [
+    `${OK}Content-Length: 1\r\n\r\na${OK}Content-Length: 1\r\n\r\nb`,
+  ],
+  "no body after HEAD": [`${OK}Content-Length: 3\r\n\r\n`, { method: "HEAD" }],
+  "no body with 204": ["HTTP/1.1 204 No Content\r\n\r\n"],
+  "an old version": ["HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n"],
+  "Connection: close": [`${OK}Connection: close\r\nContent-Length: 0\r\n\r\n`],
+  "cut within the headers": [`${OK}Content-`, { close: true }],
+  "cut within a length": [
+    `${OK}Content-Length: 3\r\n\r\nab`,
+    { close: true },
+  ],
+  "cut within chunks": [
+    `${OK}Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n`,
+    { close: true },
+  ],
+  "a malformed chunk length": [
+    `${OK}Transfer-Encoding: chunked\r\n\r\nxyz\r\nab\r\n0\r\n\r\n`,
+  ],
+  "a chunk longer than stated": [
+    `${OK}Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n`,
+  ],
+  "two lengths": [`${OK}Content-Length: 1\r\nContent-Length: 2\r\n\r\nab`],
+  "a length and chunks": [
+    `${OK}Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n`,
+  ],
+  "a negative length": [`${OK}Content-Length: -1\r\n\r\n`],
+  "an unknown encoding": [`${OK}Transfer-Encoding: gzip\r\n\r\n`],
+  "no status line": ["garbage\r\n\r\n"],
+  "a bare line feed": ["HTTP/1.1 200 OK\nContent-Length: 0\n\n"],
+  "a folded header": [`${OK}A: b\r\n c\r\n\r\n`],
+};
+
+// Guards against broken answers that look complete.
+test("answers and broken answers", (t) => {
+  matchSnapshot(
+    t,
+    Object.fromEntries(
+      Object.entries(CASES).map(([name, input]) => [name, parse(...input)]),
+    ),
+  );
+});
+
+// Guards against a result that depends on how the bytes arrive.
+test("the parts in which bytes arrive make no difference", () => {
+  const cases = Object.values(CASES);
+  fc.assert(
+    fc.property(
+      fc.constantFrom(...cases),
+      fc.array(fc.integer({ min: 1, max: 120 }), { maxLength: 12 }),
+      ([text, options], cuts) => {
+        const inside = cuts.filter((cut) => cut < text.length);
+        assert.deepEqual(
+          parse(text, { ...options, cuts: inside }),
+          parse(text, options),
+        );
+      },
+    ),
+  );
+});
