Judge new versions by the chance of their bad answers

The binomial tail of its part of all bad answers, and of its own part against what is bad anyway, replaces fixed ratios; a version in doubt is not raised and is stopped near its deadline. Lost connections no longer count against a version, and the shares of small routes stay within the exposure bound together.

--- a/src/core/release/evidence.ts
+++ b/src/core/release/evidence.ts
@@ -3,14 +3,24 @@
  *
  * @module
  */
+import { binomialTail } from "./binomial.ts";
 import type { Tally } from "./version_counts.ts";
 
-/** Bad answers without which no version is found bad. */
-const MIN_BAD = 4;
-/** Part of bad answers below which a version is never found bad. */
-const MIN_BAD_RATIO = 0.12;
-/** Factor by which a bad version's part exceeds the other versions' part. */
-const WORSE_FACTOR = 2.5;
+/**
+ * Chance of a wrong reversal in one look at one route. A release of 16 s is
+ * looked at 160 times, but successive looks share most answers.
+ */
+const MAX_CHANCE = 1e-3;
+/** Chance below which a version is not yet taken as good. */
+const SUSPICION_CHANCE = 0.1;
+/** Factor by which the new version's part of bad answers may be higher. */
+const TOLERANCE = 1.5;
+/** Part of bad answers that alone never shows a version to be bad. */
+const BACKGROUND_RATIO = 0.12;
+/** Factor on the other versions' part of bad answers for the same test. */
+const BACKGROUND_FACTOR = 2.5;
+/** Answers that are added to the other versions', against chance. */
+const PRIOR_ANSWERS = 10;
 /**
  * Answers on each route that show a version to be good. A version that fails
  * 40% of a route's requests passes eight answers with a chance of 2%.
@@ -28,16 +38,28 @@
 const NOTHING: Tally = { answers: 0, bad: 0 };
 
 /** Returns why the new version is bad, or `undefined`. */
-export function findFault({ newer, older }: Comparison): string | undefined {
+export function findFault(comparison: Comparison): string | undefined {
+  return findWorse(comparison, MAX_CHANCE);
+}
+
+/** Returns why the new version may be bad, or `undefined`. */
+export function findSuspicion(comparison: Comparison): string | undefined {
+  return findWorse(comparison, SUSPICION_CHANCE);
+}
+
+function findWorse(
+  { newer, older }: Comparison,
+  maxChance: number,
+): string | undefined {
   for (const [routeId, tally] of newer) {
-    const reference = older.get(routeId) ?? sumOf(older);
-    if (isWorse(tally, reference)) {
+    const reference = older.get(routeId) ?? NOTHING;
+    if (chanceOf(tally, reference) < maxChance) {
       return describe(`route ${routeId}`, tally, reference);
     }
   }
   const all = sumOf(newer);
   const reference = sumOf(older);
-  return isWorse(all, reference)
+  return chanceOf(all, reference) < maxChance
     ? describe("all routes", all, reference)
     : undefined;
 }
@@ -53,12 +75,27 @@
   });
 }
 
-function isWorse(tally: Tally, reference: Tally): boolean {
-  if (tally.bad < MIN_BAD) return false;
-  const ratio = tally.bad / tally.answers;
-  // The added answers keep a reference of few answers from deciding.
-  const others = (reference.bad + 1) / (reference.answers + 10);
-  return ratio >= MIN_BAD_RATIO && ratio >= WORSE_FACTOR * others;
+/**
+ * Chance that a version which is not worse has this many bad answers: by its
+ * part of all bad answers against its part of all answers, or by its own part
+ * of bad answers against what is bad anyway. The second test decides when
+ * most requests use the new version already.
+ */
+function chanceOf(newer: Tally, older: Tally): number {
+  if (newer.bad === 0) return 1;
+  const part = newer.answers / (newer.answers + older.answers);
+  const fairChance = TOLERANCE * part / (1 - part + TOLERANCE * part);
+  const comparison = older.answers < PRIOR_ANSWERS
+    ? 1
+    : binomialTail(newer.bad, newer.bad + older.bad, fairChance);
+  const background = BACKGROUND_FACTOR * older.bad /
+    (older.answers + PRIOR_ANSWERS);
+  const alone = binomialTail(
+    newer.bad,
+    newer.answers,
+    Math.max(BACKGROUND_RATIO, background),
+  );
+  return Math.min(comparison, alone);
 }
 
 function sumOf(tallies: ReadonlyMap<string, Tally>): Tally {
--- a/src/core/release/releases.ts
+++ b/src/core/release/releases.ts
@@ -8,12 +8,17 @@
  *
  * @module
  */
-import { findFault, routesWithoutEvidence } from "./evidence.ts";
+import {
+  type Comparison,
+  findFault,
+  findSuspicion,
+  routesWithoutEvidence,
+} from "./evidence.ts";
 import {
   evaluationMs,
   evaluationShare,
   raisedShare,
-  routeShare,
+  routeShares,
 } from "./share_schedule.ts";
 import type {
   ReleaseBounds,
@@ -28,6 +33,8 @@
 const MAX_STORE_AGE_MS = 2_500;
 /** Time between two attempts to write the same outcome. */
 const WRITE_INTERVAL_MS = 600;
+/** Part of the time after which a version in doubt is stopped. */
+const DOUBT_TIME_PART = 0.95;
 /** Length of the window of recent counts, for rates. */
 const RECENT_S = 2;
 
@@ -207,20 +214,15 @@
       inputs.hearsMostHosts;
     const seenForMs = nowMs - state.firstSeenMs;
     if (state.goodMs === undefined) {
-      const lacking = this.#lacking(order);
-      this.#setRouteShares(state);
-      if (
-        mayRaise && seenForMs >= evaluationMs(durationMs) &&
-        lacking.length === 0
-      ) state.goodMs = nowMs;
-      else if (order.outcome === "ordered") {
-        const reason = "the order was seen";
-        return this.#write(
-          state,
-          { outcome: "running", reason, inputs },
-          nowMs,
-        );
-      } else return [];
+      // The rates of routes are known only with the reports of most hosts.
+      if (inputs.hearsMostHosts) this.#setRouteShares(state);
+      else state.routeShares = new Map();
+      const isDue = mayRaise && seenForMs >= evaluationMs(durationMs);
+      const doubt = isDue ? this.#findDoubt(order) : "it is evaluated";
+      if (doubt !== undefined) {
+        return this.#wait(state, { doubt, inputs, seenForMs }, nowMs);
+      }
+      state.goodMs = nowMs;
     }
     // A share that may not be raised any further is kept.
     if (!mayRaise) return [];
@@ -237,40 +239,64 @@
     return [{ type: "share", service, version, share, reason }];
   }
 
+  /** Keeps a version at its share; one in doubt at its deadline is bad. */
+  #wait(
+    state: ReleaseState,
+    { doubt, inputs, seenForMs }: {
+      doubt: string;
+      inputs: ReleaseInputs;
+      seenForMs: number;
+    },
+    nowMs: number,
+  ): ReleaseEffect[] {
+    const { order } = state;
+    if (order.outcome === "ordered") {
+      const reason = "the order was seen";
+      return this.#write(state, { outcome: "running", reason, inputs }, nowMs);
+    }
+    const isSuspect = findSuspicion(this.#comparison(order)) !== undefined;
+    if (seenForMs < order.durationMs * DOUBT_TIME_PART || !isSuspect) return [];
+    const { service, version } = order;
+    const reason = `in doubt near its deadline: ${doubt}`;
+    this.stop({ service, version, reason });
+    return [{ type: "stop", service, version, reason }];
+  }
+
   #setRouteShares(state: ReleaseState): void {
-    const { service, version } = state.order;
-    const recent = this.#counts.tallies(service, version, { recent: true });
-    const others = this.#counts.tallies(service, version, {
+    const { newer: recent, older: others } = this.#comparison(state.order, {
       recent: true,
-      except: true,
     });
-    const shares = new Map<string, number>();
+    const perS = new Map<string, number>();
     for (const routeId of new Set([...recent.keys(), ...others.keys()])) {
-      const perS = (answersOf(recent, routeId) + answersOf(others, routeId)) /
-        RECENT_S;
-      shares.set(routeId, routeShare(state.share, perS));
+      const answers = answersOf(recent, routeId) + answersOf(others, routeId);
+      perS.set(routeId, answers / RECENT_S);
     }
-    state.routeShares = shares;
+    const { exposureShare } = this.#bounds();
+    state.routeShares = routeShares(state.share, perS, exposureShare);
   }
 
-  #findFault({ service, version }: ReleaseOrder): string | undefined {
-    for (const recent of [true, false]) {
-      const newer = this.#counts.tallies(service, version, { recent });
-      const older = this.#counts.tallies(service, version, {
-        recent,
-        except: true,
-      });
-      const fault = findFault({ newer, older });
-      if (fault !== undefined) return fault;
-    }
-    return undefined;
+  #findFault(order: ReleaseOrder): string | undefined {
+    return findFault(this.#comparison(order, { recent: true })) ??
+      findFault(this.#comparison(order));
+  }
+
+  /** Why the version can't be taken as good yet; `undefined` if it can. */
+  #findDoubt(order: ReleaseOrder): string | undefined {
+    const comparison = this.#comparison(order);
+    if (comparison.newer.size === 0) return "it has no answers";
+    const [lacking] = routesWithoutEvidence(comparison);
+    if (lacking !== undefined) return `route ${lacking} has few answers`;
+    return findSuspicion(comparison);
   }
 
-  #lacking({ service, version }: ReleaseOrder): string[] {
-    const newer = this.#counts.tallies(service, version);
-    const older = this.#counts.tallies(service, version, { except: true });
-    if (newer.size === 0) return ["no route has an answer"];
-    return routesWithoutEvidence({ newer, older });
+  #comparison(
+    { service, version }: ReleaseOrder,
+    { recent = false }: { recent?: boolean } = {},
+  ): Comparison {
+    return {
+      newer: this.#counts.tallies(service, version, { recent }),
+      older: this.#counts.tallies(service, version, { recent, except: true }),
+    };
   }
 
   #write(
--- a/src/core/release/share_schedule.ts
+++ b/src/core/release/share_schedule.ts
@@ -23,6 +23,8 @@
 const MIN_ROUTE_SAMPLES_PER_S = 2;
 /** Largest share of a route with little traffic. */
 const MAX_ROUTE_SHARE = 0.4;
+/** Part of the exposure bound that all routes together may use. */
+const ROUTES_PART = 0.75;
 
 /** Share under evaluation. */
 export function evaluationShare(exposureShare: number): number {
@@ -51,13 +53,30 @@
 }
 
 /**
- * Share on one route under evaluation: a route with few requests gets a
- * larger one, which adds little to the service's sum.
+ * Shares by route under evaluation: a route with few requests gets a larger
+ * one, as long as the service's sum stays below the bound.
  *
- * @param routePerS Requests a second of the route over all hosts.
+ * @param perS Requests a second of each route over all hosts.
  */
-export function routeShare(share: number, routePerS: number): number {
-  if (routePerS <= 0) return share;
-  const wanted = MIN_ROUTE_SAMPLES_PER_S / routePerS;
-  return Math.max(share, Math.min(MAX_ROUTE_SHARE, wanted));
+export function routeShares(
+  share: number,
+  perS: ReadonlyMap<string, number>,
+  exposureShare: number,
+): Map<string, number> {
+  const shares = new Map<string, number>();
+  let allPerS = 0;
+  let extraPerS = 0;
+  for (const [routeId, routePerS] of perS) {
+    const wanted = routePerS > 0 ? MIN_ROUTE_SAMPLES_PER_S / routePerS : 0;
+    const own = Math.max(share, Math.min(MAX_ROUTE_SHARE, wanted));
+    shares.set(routeId, own);
+    allPerS += routePerS;
+    extraPerS += (own - share) * routePerS;
+  }
+  const mostPerS = (exposureShare * ROUTES_PART - share) * allPerS;
+  const factor = extraPerS > mostPerS ? mostPerS / extraPerS : 1;
+  for (const [routeId, own] of shares) {
+    shares.set(routeId, share + (own - share) * factor);
+  }
+  return shares;
 }
--- a/src/core/request/step.ts
+++ b/src/core/request/step.ts
@@ -218,12 +218,10 @@
         this.#parts.noteTime(route, workMs, { warm });
       }
     }
-    if (outcome === "answered" || (outcome === "cancelled" && !slow)) {
-      if (outcome === "cancelled") return;
-      return this.#parts.noteVersion(request, state, { bad: slow });
-    }
-    if (outcome === "failed" || outcome === "broken" || slow) {
-      this.#parts.noteVersion(request, state, { bad: true });
+    // A lost connection says more of target or network than of the version.
+    const bad = outcome === "failed" || slow;
+    if (bad || outcome === "answered") {
+      this.#parts.noteVersion(request, state, { bad });
     }
   }
 
