--- a/src/core/request/arrival.ts
+++ b/src/core/request/arrival.ts
@@ -133,6 +133,7 @@
     tried: [],
     current: undefined,
     answerStarted: false,
+    hasFailure: false,
   };
 }
 
--- a/src/core/request/step.ts
+++ b/src/core/request/step.ts
@@ -102,11 +102,8 @@
       this.effects.push({ type: "break", requestId: request.requestId });
       return this.#forget(request);
     }
+    request.hasFailure = outcome === "failed";
     if (this.#mayRetry(request, event)) return this.#dispatch(request);
-    if (outcome === "failed") {
-      this.effects.push({ type: "deliver", requestId: request.requestId });
-      return this.#forget(request);
-    }
     this.#end(request, {
       kind: request.mayHaveRun ? "target_failed" : "no_room",
       why: `the last attempt ended as ${outcome}`,
@@ -294,6 +291,11 @@
   #end(request: RequestState, obstacle: Obstacle): void {
     const { requestId, route, service, organisation, attempts } = request;
     const running = request.current !== undefined;
+    if (request.hasFailure && !running) {
+      // The target's own failure says more than a refusal.
+      this.effects.push({ type: "deliver", requestId });
+      return this.#forget(request);
+    }
     const ran = request.mayHaveRun || running;
     if (running) this.#abort(request, "cancelled");
     if (request.answerStarted) {
--- a/src/core/request/types.ts
+++ b/src/core/request/types.ts
@@ -153,6 +153,8 @@
   readonly tried: string[];
   current: CurrentAttempt | undefined;
   answerStarted: boolean;
+  /** Whether the last attempt ended with the target's own failure. */
+  hasFailure: boolean;
 }
 
 /** The attempt that is running. */
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -34,6 +34,7 @@
 import { ReportExchange } from "../peer/report_exchange.ts";
 import type { ControlCodec } from "../store/control_codec.ts";
 import { type ObjectStore, StoreError } from "../store/object_store.ts";
+import type { SettingsSource } from "../settings_source.ts";
 import { ConnectionPool } from "../target/connection_pool.ts";
 import { createLog } from "../telemetry/log.ts";
 import { createMetrics } from "../telemetry/metrics.ts";
@@ -53,6 +54,10 @@
 const LOOKUP_TTL_MS = 2_000;
 /** Time for which a blame is reported to other hosts. */
 const BLAME_REPORT_MS = 5_000;
+/** Time between two looks at the settings file, which changes silently. */
+const RELOAD_MS = 1_000;
+/** Time for requests that arrive as the process ends. */
+const LAST_REQUESTS_MS = 100;
 /** Time between two attempts to register this host. */
 const REGISTER_RETRY_MS = 700;
 /** Time after which peers are asked when the store does not answer. */
@@ -60,7 +65,7 @@
 
 /** What an entry host is given by its platform. */
 export interface EntryHostOptions {
-  readonly settings: () => EntrySettings;
+  readonly settings: SettingsSource<EntrySettings>;
   readonly names: WireNames;
   readonly codec: ControlCodec;
   /** Creates the client of the store. */
@@ -83,6 +88,8 @@
 
 /** A running entry host. */
 export interface EntryHost {
+  /** Reads the settings again. */
+  reload(): void;
   /** Stops without cutting requests. */
   stop(): Promise<void>;
 }
@@ -96,7 +103,7 @@
   options: EntryHostOptions,
 ): Promise<EntryHost> {
   const { names, codec } = options;
-  const settings = options.settings();
+  const settings = options.settings.current;
   const nowMs = monotonicMs;
   const random = Math.random;
   const startedMs = Date.now();
@@ -117,14 +124,14 @@
   const membership = new Membership(self);
   const targets = new TargetTable();
   const counts = new VersionCounts();
-  const releases = new Releases(counts, () => options.settings().bounds);
+  const releases = new Releases(counts, () => options.settings.current.bounds);
   const quotas = new Quotas({
     windowMs: settings.bounds.quotaWindowMs,
     excessPart: settings.bounds.quotaExcess,
     slack: settings.bounds.quotaSlack,
   }, { startsFull: settings.firstStart });
   const roundTrips = new RoundTrips(host);
-  const stopPlan = new StopPlan(() => options.settings().bounds.graceMs);
+  const stopPlan = new StopPlan(() => options.settings.current.bounds.graceMs);
   const blocked = new Set<string>();
   const blames: { note: CrashBlameNote; atMs: number }[] = [];
   let sequence = 0;
@@ -181,12 +188,12 @@
       hostIds: [host.id, ...readyPeers().map(({ id }) => id)],
     }),
     distance: () => ({
-      ...options.settings().distance,
+      ...options.settings.current.distance,
       regionRoundTripMs: roundTrips.regionMs,
       zoneRoundTripMs: roundTrips.zoneMs,
     }),
     retryBounds: () => {
-      const { bounds } = options.settings();
+      const { bounds } = options.settings.current;
       return {
         ratio: bounds.retryRatio,
         slack: bounds.retrySlack,
@@ -323,7 +330,7 @@
       .filter((route) => route.host === hostName)
       .flatMap(({ homeRegions }) => homeRegions) ?? [];
     const chosen = chooseHosts(hosts, caller, { preferredRegions });
-    const { maxLookupTtlMs } = options.settings().bounds;
+    const { maxLookupTtlMs } = options.settings.current.bounds;
     metrics.lookups.inc({ answer: chosen.length > 0 ? "hosts" : "none" });
     return {
       addresses: chosen.map(({ callerAddress }) => callerAddress),
@@ -388,6 +395,16 @@
     }
   }
 
+  function reload(): void {
+    const result = options.settings.reload();
+    if (result.type === "changed") {
+      log.event("settings_reloaded", { settings: options.settings.current });
+    } else if (result.type === "rejected") {
+      log.warn("settings_rejected", { reason: result.reason });
+    }
+  }
+
+  const reloads = setInterval(reload, RELOAD_MS);
   let turnMs = nowMs();
   const turns = setInterval(() => {
     const atMs = nowMs();
@@ -432,9 +449,13 @@
     );
     while (!stopPlan.mayExit(handler.inProgress, nowMs())) await sleep(50);
     clearInterval(turns);
+    clearInterval(reloads);
     stopFollowing();
     exchange.close();
+    // Requests that are on their way on open connections are still refused.
+    callerServer.close();
     callerServer.closeIdleConnections();
+    await Promise.race([handler.whenIdle(), sleep(LAST_REQUESTS_MS)]);
     pool.close();
     store.close();
     await tracing.close();
@@ -444,6 +465,7 @@
   }
 
   return {
+    reload,
     stop: () => stopping ??= runStop(),
   };
 }
--- a/src/testing/processes.ts
+++ b/src/testing/processes.ts
@@ -11,7 +11,7 @@
 import { fileURLToPath } from "node:url";
 import { stringify } from "smol-toml";
 
-const DIST = fileURLToPath(new URL("../", import.meta.url));
+const DIST = fileURLToPath(new URL("../../", import.meta.url));
 
 /** A started program. */
 export interface RunningProgram {
