Take admitted requests back from the window that holds them

The event is taken back from the latest slice that holds one; a report that can't be encoded is logged and left out.

--- a/src/core/limits/quotas.ts
+++ b/src/core/limits/quotas.ts
@@ -155,7 +155,7 @@
     const { bucket, window } = quota;
     if (this.#isRelaxed(quota, nowMs)) {
       takeToken(bucket, nowMs);
-      window.add(1, nowMs);
+      window.add(nowMs);
       return ADMITTED;
     }
     if (window.total(nowMs) + 1 > this.#windowLimit(quota)) {
@@ -165,7 +165,7 @@
     if (!takeToken(bucket, nowMs)) {
       return { admitted: false, waitMs: Math.ceil(waitForTokenMs(bucket)) };
     }
-    window.add(1, nowMs);
+    window.add(nowMs);
     return ADMITTED;
   }
 
@@ -176,7 +176,7 @@
     const { bucket, window } = quota;
     refill(bucket, nowMs);
     bucket.tokens = Math.min(bucket.capacity, bucket.tokens + 1);
-    window.add(-1, nowMs);
+    window.takeBack(nowMs);
   }
 
   /** Follows the demand. Called a few times a second. */
--- a/src/core/limits/window_counter.ts
+++ b/src/core/limits/window_counter.ts
@@ -20,11 +20,23 @@
     this.#startMs = nowMs;
   }
 
-  /** Adds events; a negative number takes some back. */
-  add(events: number, nowMs: number): void {
+  /** Adds an event. */
+  add(nowMs: number): void {
     this.#advance(nowMs);
-    this.#counts[this.#at] += events;
-    this.#total += events;
+    this.#counts[this.#at] += 1;
+    this.#total += 1;
+  }
+
+  /** Takes back an event, the latest one of the window. */
+  takeBack(nowMs: number): void {
+    this.#advance(nowMs);
+    for (let i = 0; i < this.#counts.length; i++) {
+      const at = (this.#at + this.#counts.length - i) % this.#counts.length;
+      if (this.#counts[at] === 0) continue;
+      this.#counts[at] -= 1;
+      this.#total -= 1;
+      return;
+    }
   }
 
   /** Events of the last window. */
--- a/src/node/peer/report_exchange.ts
+++ b/src/node/peer/report_exchange.ts
@@ -93,8 +93,14 @@
     if (this.#closed) return;
     clearTimeout(this.#timer);
     this.#timer = setTimeout(() => {
-      this.#send();
       this.#schedule(REPORT_MS);
+      try {
+        this.#send();
+      } catch (error) {
+        // A report that can't be encoded must not end the process.
+        const reason = (error as Error).message;
+        this.#options.log.warn("report_failed", { reason });
+      }
     }, delayMs);
   }
 
