Check a silent target before a request leaves it; place objects at once

Silence alone now leads to a connection trial; only when that fails is a request that may run twice sent to another target. Ruled out: the stop itself, as the request ended before the host refused any.

Objects moved between targets in the first seconds, as distance and sizes were learned from requests.

--- /dev/null
+++ b/src/core/balance/route_sizes.ts
@@ -0,0 +1,52 @@
+/**
+ * Sizes of a route's requests and answers.
+ *
+ * @module
+ */
+
+/** Weight of one request once many were seen. */
+const MIN_WEIGHT = 0.03;
+/** Assumed size before the first request, in bytes. */
+const DEFAULT_BYTES = 1_024;
+/**
+ * Ratio of two size classes. Hosts see different requests of a route, and a
+ * coarse class keeps their view of its size the same.
+ */
+const CLASS_RATIO = 4;
+
+interface Size {
+  requests: number;
+  logAllBytes: number;
+  answerBytes: number;
+}
+
+/** Learned sizes by route. */
+export class RouteSizes {
+  #byRoute = new Map<string, Size>();
+
+  /** Notes a request that was answered. */
+  note(routeId: string, requestBytes: number, answerBytes: number): void {
+    let size = this.#byRoute.get(routeId);
+    if (size === undefined) {
+      size = { requests: 0, logAllBytes: 0, answerBytes: 0 };
+      this.#byRoute.set(routeId, size);
+    }
+    size.requests += 1;
+    const weight = Math.max(MIN_WEIGHT, 1 / size.requests);
+    const logBytes = Math.log(Math.max(1, requestBytes + answerBytes));
+    size.logAllBytes += weight * (logBytes - size.logAllBytes);
+    size.answerBytes += weight * (answerBytes - size.answerBytes);
+  }
+
+  /** Bytes of an answer that are expected. */
+  answerBytes(routeId: string): number {
+    return this.#byRoute.get(routeId)?.answerBytes ?? DEFAULT_BYTES;
+  }
+
+  /** Typical bytes of a request with its answer, in coarse steps. */
+  sizeClass(routeId: string): number {
+    const size = this.#byRoute.get(routeId);
+    const logBytes = size?.logAllBytes ?? Math.log(DEFAULT_BYTES);
+    return CLASS_RATIO ** Math.round(logBytes / Math.log(CLASS_RATIO));
+  }
+}
--- a/src/core/request/parts.ts
+++ b/src/core/request/parts.ts
@@ -40,6 +40,8 @@
     nowMs: number,
   ): Flight;
   endAttempt(flight: Flight, end: AttemptEnd, nowMs: number): void;
+  /** Notes that no connection to a target can be made. */
+  noteUnreachable(targetId: string, nowMs: number): void;
   /** Notes the end of an attempt for its version. */
   noteVersion(
     request: RequestState,
--- a/src/core/request/pipeline_test.ts
+++ b/src/core/request/pipeline_test.ts
@@ -73,6 +73,7 @@
       counts.push(`${flight.state.target.id} ${end.outcome}`);
       table.end(flight, end, nowMs);
     },
+    noteUnreachable: (id) => counts.push(`${id} unreachable`),
     noteVersion: (_request, _target, { bad }) =>
       counts.push(bad ? "bad for the version" : "good for the version"),
     expectedTime: () => ({ warmMs: 100, coldMs: 300 }),
@@ -262,6 +263,31 @@
   });
 });
 
+// Guards against an answer that is given up because its target is busy, and
+// against waiting for a target that is gone.
+test("a silent target is checked before a request leaves it", (t) => {
+  const run = (options: Options, refused: boolean) => {
+    const host = createHost(options);
+    host.arrive();
+    host.apply({ type: "tick" }, 700);
+    if (refused) {
+      host.apply({ type: "target_refused", targetId: "target-1" }, 800);
+    }
+    host.apply({ type: "tick" }, 900);
+    return host.told;
+  };
+  matchSnapshot(t, {
+    "it can be reached": run({}, false),
+    "it is gone": run({}, true),
+    "it is gone, the request runs once": run({ route: ONCE }, true),
+    "it is gone, there is no other": run({ targets: 1 }, true),
+    "it is gone, the budget is used up": run(
+      { parts: { takeRetry: () => false } },
+      true,
+    ),
+  });
+});
+
 // Guards against work for a caller that has left.
 test("a caller that leaves ends the attempt", () => {
   const host = createHost();
--- a/src/core/request/step.ts
+++ b/src/core/request/step.ts
@@ -27,9 +27,9 @@
 const MAX_UNCOUNTED_SENDS = 4;
 /** An answer is bad for its version beyond this many cold times. */
 const SLOW_COLD_TIMES = 2;
-/** Shortest time without an answer after which a target is taken as silent. */
+/** Shortest time without an answer after which a target is checked. */
 const MIN_SILENT_MS = 600;
-/** A target is taken as silent after this many expected times. */
+/** A target is checked after this many expected times. */
 const SILENT_EXPECTED_TIMES = 4;
 
 /** Applies an event and collects the effects. */
@@ -114,6 +114,12 @@
   noteRefused(targetId: string): void {
     const { blame } = this.#state;
     this.#publish(targetId, blame.noteRefused(targetId, this.#nowMs));
+    this.#parts.noteUnreachable(targetId, this.#nowMs);
+    for (const request of [...this.#state.requests.values()]) {
+      if (request.current?.flight.state.target.id === targetId) {
+        this.#sendElsewhere(request);
+      }
+    }
   }
 
   dropCaller(requestId: number): void {
@@ -158,7 +164,7 @@
       flight: this.#parts.beginAttempt(request, state, this.#nowMs),
       candidate,
       startedMs: this.#nowMs,
-      foundSilent: false,
+      checked: false,
     };
     this.effects.push({
       type: "send",
@@ -235,7 +241,7 @@
       this.#publish(id, blame.noteBreak(id, request, this.#nowMs));
       this.effects.push({ type: "check_target", target });
     } else if (outcome === "unreachable") {
-      this.noteRefused(id);
+      this.#publish(id, blame.noteRefused(id, this.#nowMs));
     } else if (outcome === "answered") {
       blame.noteAnswered(fingerprint, version);
     }
@@ -261,27 +267,33 @@
   }
 
   /**
-   * Notices that a target does not answer. A request that may run twice is
-   * sent to another one; the others wait, as their answer may still come.
+   * Notices that a target does not answer. Silence alone ends nothing: a
+   * connection trial tells whether the target is there at all.
    */
-  #noticeSilence(request: RequestState): void {
-    const { current, route, answerStarted } = request;
-    if (current === undefined || answerStarted) return;
+  #noticeSilence({ current, answerStarted }: RequestState): void {
+    if (current === undefined || answerStarted || current.checked) return;
     const { candidate, startedMs, flight } = current;
-    const heldMs = this.#nowMs - startedMs;
     const limitMs = Math.max(
       MIN_SILENT_MS,
       SILENT_EXPECTED_TIMES * candidate.expectedMs,
     );
-    if (heldMs < limitMs) return;
-    const { health } = flight.state;
+    if (this.#nowMs - startedMs < limitMs) return;
+    const { health, target } = flight.state;
     if (health.answeredMs >= startedMs) return;
-    if (!current.foundSilent) {
-      current.foundSilent = true;
-      health.note("silent", this.#nowMs);
-    }
-    if (!route.idempotent || request.attempts >= route.maxAttempts) return;
-    if (!this.#parts.takeRetry(request.service, this.#nowMs)) return;
+    current.checked = true;
+    this.effects.push({ type: "check_target", target });
+  }
+
+  /**
+   * Sends a request to another target, as its target can't be reached any
+   * more. One that must not run twice waits, as its answer may still come.
+   */
+  #sendElsewhere(request: RequestState): void {
+    const { route, answerStarted, service } = request;
+    if (answerStarted || !route.idempotent) return;
+    if (request.attempts >= route.maxAttempts) return;
+    if (this.#parts.usableTargets(request, this.#nowMs).length === 0) return;
+    if (!this.#parts.takeRetry(service, this.#nowMs)) return;
     request.mayHaveRun = true;
     this.#abort(request, "cancelled");
     this.#dispatch(request);
--- a/src/core/request/types.ts
+++ b/src/core/request/types.ts
@@ -164,8 +164,8 @@
   readonly startedMs: number;
   /** Whether this host knows that the target has handled the object. */
   readonly knownWarm: boolean;
-  /** Whether the target has been found silent in this attempt. */
-  foundSilent: boolean;
+  /** Whether the target was checked because it does not answer. */
+  checked: boolean;
 }
 
 /** Why a request can't be sent. */
--- a/src/core/targets/round_trips.ts
+++ b/src/core/targets/round_trips.ts
@@ -9,37 +9,51 @@
 /** Weight of one connection in a mean. */
 const WEIGHT = 0.1;
 
+/** How far a place is. */
+export type Distance = "near" | "zone" | "region";
+
 /** Mean round trips seen from one place. */
 export class RoundTrips {
   readonly #from: Place;
-  #regionMs: number | undefined;
-  #zoneMs: number | undefined;
-  #nearMs: number | undefined;
+  #meansMs = new Map<Distance, number>();
 
   constructor(from: Place) {
     this.#from = from;
   }
 
+  /** How far a place is from here. */
+  distanceTo({ region, availabilityZone }: Place): Distance {
+    if (region !== this.#from.region) return "region";
+    return availabilityZone === this.#from.availabilityZone ? "near" : "zone";
+  }
+
+  /** Whether a connection over this distance was seen. */
+  isKnown(distance: Distance): boolean {
+    return this.#meansMs.has(distance);
+  }
+
   /** Notes how long a connection to a place took. */
-  note({ region, availabilityZone }: Place, tookMs: number): void {
-    if (region !== this.#from.region) {
-      this.#regionMs = mean(this.#regionMs, tookMs);
-    } else if (availabilityZone !== this.#from.availabilityZone) {
-      this.#zoneMs = mean(this.#zoneMs, tookMs);
-    } else this.#nearMs = mean(this.#nearMs, tookMs);
+  note(place: Place, tookMs: number): void {
+    const distance = this.distanceTo(place);
+    const known = this.#meansMs.get(distance);
+    this.#meansMs.set(
+      distance,
+      known === undefined ? tookMs : known + WEIGHT * (tookMs - known),
+    );
   }
 
   /** Time that a target in another region takes more than a near one. */
   get regionMs(): number {
-    return Math.max(0, (this.#regionMs ?? 0) - (this.#nearMs ?? 0));
+    return this.#extraMs("region");
   }
 
   /** Time that a target in another zone takes more than a near one. */
   get zoneMs(): number {
-    return Math.max(0, (this.#zoneMs ?? 0) - (this.#nearMs ?? 0));
+    return this.#extraMs("zone");
   }
-}
 
-function mean(known: number | undefined, value: number): number {
-  return known === undefined ? value : known + WEIGHT * (value - known);
+  #extraMs(distance: Distance): number {
+    const nearMs = this.#meansMs.get("near") ?? 0;
+    return Math.max(0, (this.#meansMs.get(distance) ?? 0) - nearMs);
+  }
 }
--- a/src/core/targets/target_health.ts
+++ b/src/core/targets/target_health.ts
@@ -64,7 +64,6 @@
         this.#add(outcome === "answered" ? 0 : 1, nowMs);
         return;
       case "unreachable":
-      case "silent":
         this.#backOff(nowMs);
         this.#add(1, nowMs);
         return;
--- a/src/core/targets/types.ts
+++ b/src/core/targets/types.ts
@@ -47,8 +47,6 @@
   | "unreachable"
   /** The connection ended, or carried what is no answer, after a send. */
   | "broken"
-  /** No answer came within the time that the target should have needed. */
-  | "silent"
   /** This host or the caller ended the attempt; it says nothing. */
   | "cancelled";
 
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -17,7 +17,7 @@
 import type { Obstacle } from "../../core/request/types.ts";
 import type { EntrySettings } from "../../core/settings/entry_settings.ts";
 import { StopPlan } from "../../core/stop/stop_plan.ts";
-import { RoundTrips } from "../../core/targets/round_trips.ts";
+import { type Distance, RoundTrips } from "../../core/targets/round_trips.ts";
 import { TargetTable } from "../../core/targets/target_table.ts";
 import type { Place } from "../../core/types.ts";
 import { listen } from "../address.ts";
@@ -152,7 +152,10 @@
     nowMs,
     random,
     log,
-    onNews: (kind, news) => reader.apply(kind, news),
+    onNews(kind, news) {
+      reader.apply(kind, news);
+      if (kind === "targets") measureDistances();
+    },
     onFirst: (kind) => log.event("objects_known", { kind }),
   });
   const reader = new ControlReader({
@@ -252,6 +255,24 @@
     describe,
   });
 
+  /**
+   * Opens one connection over each distance that is not known yet, so that
+   * objects are held at the right places from the first request on.
+   */
+  function measureDistances(): void {
+    const opened = new Set<Distance>();
+    for (const { target } of targets.all()) {
+      const distance = roundTrips.distanceTo(target);
+      if (roundTrips.isKnown(distance) || opened.has(distance)) continue;
+      opened.add(distance);
+      pool.open(target.address, (result) => {
+        if (result instanceof Error) return;
+        const idle = { keepAliveMs: -1, nowMs: nowMs() };
+        pool.giveBack(target.address, result, idle);
+      });
+    }
+  }
+
   function hostState(): HostState {
     if (stopPlan.phase(nowMs()) !== "serving") return "leaving";
     return reader.document === undefined ? "starting" : "ready";
--- a/src/node/entry/request_parts.ts
+++ b/src/node/entry/request_parts.ts
@@ -10,6 +10,7 @@
   type DistanceCosts,
 } from "../../core/balance/choose_target.ts";
 import { NearWeights } from "../../core/balance/near_weight.ts";
+import { RouteSizes } from "../../core/balance/route_sizes.ts";
 import { Splitter } from "../../core/balance/split.ts";
 import { usableTargets } from "../../core/balance/usable_targets.ts";
 import type { Document, Route, Service } from "../../core/document/document.ts";
@@ -32,10 +33,6 @@
 } from "../../core/targets/target_table.ts";
 import type { Place, Random } from "../../core/types.ts";
 
-/** Weight of one answer in the mean size of a route's answers. */
-const SIZE_WEIGHT = 0.05;
-/** Assumed size of a request with its answer before the first one. */
-const DEFAULT_BYTES = 1_024;
 /** Assumed objective of a route without one, in milliseconds. */
 const DEFAULT_OBJECTIVE_MS = 500;
 
@@ -70,8 +67,7 @@
   const splitter = new Splitter();
   const budgets = new Map<string, RetryBudget>();
   const nearWeights = new NearWeights();
-  /** Mean bytes of requests with their answers, and of answers alone. */
-  const sizes = new Map<string, { allBytes: number; answerBytes: number }>();
+  const sizes = new RouteSizes();
   let document: Document | undefined;
   let routes = new RouteTable([]);
   let keys = new KeyTable([]);
@@ -129,17 +125,16 @@
     },
     chooseTarget(usable, { keyHash, route, bodyBytes }, nowMs) {
       const costs = options.distance();
-      const { allBytes, answerBytes } = sizeOf(route.id);
       const objectiveMs = route.objectiveMs || DEFAULT_OBJECTIVE_MS;
       const gainMs = costs.regionRoundTripMs +
-        costs.regionMsPerKib * allBytes / 1_024;
+        costs.regionMsPerKib * sizes.sizeClass(route.id) / 1_024;
       return chooseTarget(
         usable,
         {
           keyHash,
           expected: expectedTime(route),
           objectiveMs,
-          bytes: bodyBytes + answerBytes,
+          bytes: bodyBytes + sizes.answerBytes(route.id),
           nearWeight: nearWeights.weightOf(route.id, gainMs, objectiveMs),
           from: options.place,
         },
@@ -150,18 +145,16 @@
     beginAttempt: (request, state, nowMs) =>
       targets.begin(state, request.keyHash, nowMs),
     endAttempt: (flight, end, nowMs) => targets.end(flight, end, nowMs),
+    noteUnreachable: (id, nowMs) =>
+      targets.get(id)?.health.note("unreachable", nowMs),
     noteVersion({ service, route }, { target }, { bad }) {
       const { version } = target;
       counts.note({ service, routeId: route.id, version }, bad);
     },
     expectedTime,
     noteTime: (route, workMs, { warm }) => times.note(route, workMs, { warm }),
-    noteAnswerBytes({ route, bodyBytes }, bytes) {
-      const known = sizeOf(route.id);
-      const { allBytes, answerBytes } = known;
-      known.allBytes += SIZE_WEIGHT * (bodyBytes + bytes - allBytes);
-      known.answerBytes += SIZE_WEIGHT * (bytes - answerBytes);
-    },
+    noteAnswerBytes: ({ route, bodyBytes }, bytes) =>
+      sizes.note(route.id, bodyBytes, bytes),
     noteRequest: (service, nowMs) =>
       budgetOf(service).noteRequest(options.retryBounds(), nowMs),
     takeRetry: (service, nowMs) =>
@@ -172,15 +165,6 @@
     random: options.random,
   };
 
-  function sizeOf(routeId: string) {
-    let size = sizes.get(routeId);
-    if (size === undefined) {
-      size = { allBytes: DEFAULT_BYTES, answerBytes: DEFAULT_BYTES };
-      sizes.set(routeId, size);
-    }
-    return size;
-  }
-
   function expectedTime({ id, objectiveMs }: Route) {
     return times.expected(id, objectiveMs);
   }
