Refuse requests that a queue would make late

A request whose wait leaves it late is refused at once with the time after which a retry is useful; less urgent routes of a service yield first. Ruled out: the choice of targets, as the routes' homes had no other.

--- a/src/core/request/parts.ts
+++ b/src/core/request/parts.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Lateness } from "../balance/admission.ts";
 import type { Candidate } from "../balance/choose_target.ts";
 import type { Document, Organisation, Route } from "../document/document.ts";
 import type { QuotaAnswer } from "../limits/quotas.ts";
@@ -58,10 +59,10 @@
   /** Whether requests with a fingerprint are blocked. */
   isBlocked(fingerprint: string): boolean;
   /** Why an expected wait is too long for the request; `undefined` if not. */
-  tooLate(
+  findLateness(
     request: RequestState,
     candidate: Candidate,
     nowMs: number,
-  ): string | undefined;
+  ): Lateness | undefined;
   readonly random: Random;
 }
--- a/src/core/request/pipeline_test.ts
+++ b/src/core/request/pipeline_test.ts
@@ -82,7 +82,7 @@
     noteRequest: () => {},
     takeRetry: () => true,
     isBlocked: () => false,
-    tooLate: () => undefined,
+    findLateness: () => undefined,
     random: () => 0.5,
     ...options.parts,
   };
@@ -223,7 +223,11 @@
     }),
     "blocked": refused({ parts: { isBlocked: () => true } }),
     "no target": refused({ targets: 0 }),
-    "too late": refused({ parts: { tooLate: () => "too long a wait" } }),
+    "too late": refused({
+      parts: {
+        findLateness: () => ({ why: "too long a wait", retryAfterMs: 80 }),
+      },
+    }),
   });
 });
 
--- a/src/core/request/step.ts
+++ b/src/core/request/step.ts
@@ -149,9 +149,9 @@
       const why = `no usable target of ${request.service}`;
       return this.#end(request, { kind: "no_target", why });
     }
-    const late = this.#parts.tooLate(request, candidate, this.#nowMs);
+    const late = this.#parts.findLateness(request, candidate, this.#nowMs);
     if (late !== undefined) {
-      return this.#end(request, { kind: "no_room", why: late });
+      return this.#end(request, { kind: "no_room", ...late });
     }
     const { state, rank, warm, waitMs, expectedMs } = candidate;
     const { reportedMs } = state.load;
--- a/src/node/entry/request_parts.ts
+++ b/src/node/entry/request_parts.ts
@@ -60,6 +60,18 @@
   configure(document: Document): void;
 }
 
+/** Rank of the most urgent route of each service. */
+function urgencyOf(routes: readonly Route[]): Map<string, number> {
+  const urgency = new Map<string, number>();
+  for (const { parts, priority } of routes) {
+    for (const { service } of parts) {
+      const known = urgency.get(service) ?? Infinity;
+      urgency.set(service, Math.min(known, priority));
+    }
+  }
+  return urgency;
+}
+
 /** Creates the parts. */
 export function createRequestParts(options: RequestPartsOptions): RequestParts {
   const { targets, quotas, releases, counts } = options;
@@ -72,6 +84,7 @@
   let routes = new RouteTable([]);
   let keys = new KeyTable([]);
   let services = new Map<string, Service>();
+  let urgency = new Map<string, number>();
 
   function budgetOf(service: string): RetryBudget {
     let budget = budgets.get(service);
@@ -105,6 +118,7 @@
       routes = new RouteTable(next.routes);
       keys = new KeyTable(next.organisations);
       services = new Map(next.services.map((one) => [one.id, one]));
+      urgency = urgencyOf(next.routes);
     },
     document: () => document,
     refusesAll: options.refusesAll,
@@ -160,8 +174,16 @@
     takeRetry: (service, nowMs) =>
       budgetOf(service).take(options.retryBounds(), options.hostCount(), nowMs),
     isBlocked: options.isBlocked,
-    tooLate: ({ deadlineMs }, candidate, nowMs) =>
-      findLateness({ candidate, remainingMs: deadlineMs - nowMs }),
+    findLateness({ deadlineMs, arrivedMs, route, service }, candidate, nowMs) {
+      const objectiveMs = route.objectiveMs || Infinity;
+      return findLateness({
+        candidate,
+        remainingMs: deadlineMs - nowMs,
+        objectiveLeftMs: objectiveMs - (nowMs - arrivedMs),
+        objectiveMs,
+        yields: route.priority > (urgency.get(service) ?? route.priority),
+      });
+    },
     random: options.random,
   };
 
