Let three hosts watch the store and pass changes on

Each host watched each kind, so calls grew with hosts and changes. Three hosts by rank watch targets, releases and evacuations, check the store each second with a read that may be stale, and push changes as datagrams; the others follow and watch by themselves when no working watcher is heard.

--- a/src/core/membership/report.ts
+++ b/src/core/membership/report.ts
@@ -5,6 +5,7 @@
  */
 import type { Demand } from "../limits/quotas.ts";
 import type { StoppedVersion, VersionCount } from "../release/types.ts";
+import type { StoreReport } from "../store/store_outlook.ts";
 import type { Kind } from "../store/types.ts";
 import type { HostRecord } from "./types.ts";
 
@@ -24,6 +25,8 @@
   readonly demands: ReadonlyMap<string, Demand>;
   readonly counts: readonly VersionCount[];
   readonly stopped: readonly StoppedVersion[];
+  /** The store as the host sees it. */
+  readonly store: StoreReport;
   /** What was learned recently. */
   readonly blames: readonly CrashBlameNote[];
 }
--- a/src/node/entry/control_reader.ts
+++ b/src/node/entry/control_reader.ts
@@ -7,7 +7,7 @@
 import type { Membership } from "../../core/membership/membership.ts";
 import type { Releases } from "../../core/release/releases.ts";
 import type { KindView, ViewNews } from "../../core/store/kind_view.ts";
-import type { StoreHealth } from "../../core/store/store_health.ts";
+import type { StoreOutlook } from "../../core/store/store_outlook.ts";
 import type { Kind } from "../../core/store/types.ts";
 import { LapseFilter, versionsOf } from "../../core/targets/registry.ts";
 import type { TargetTable } from "../../core/targets/target_table.ts";
@@ -19,7 +19,7 @@
 export interface ControlReaderOptions {
   readonly codec: ControlCodec;
   readonly view: (kind: Kind) => KindView;
-  readonly storeHealth: () => StoreHealth;
+  readonly store: () => StoreOutlook;
   readonly targets: TargetTable;
   readonly releases: Releases;
   readonly membership: Membership;
@@ -81,8 +81,8 @@
 
   /** Removes targets whose registration has lapsed for good. */
   tick(): void {
-    const { storeHealth, nowMs, log } = this.#options;
-    for (const id of this.#lapse.takeGone(storeHealth(), nowMs())) {
+    const { store, nowMs, log } = this.#options;
+    for (const id of this.#lapse.takeGone(store(), nowMs())) {
       log.event("target_gone", { target: id, reason: "not registered again" });
       this.#removeTarget(id);
     }
@@ -144,8 +144,7 @@
       if (registration.draining) onTargetLeaving(registration.address);
     }
     for (const id of removed) {
-      const { storeHealth } = this.#options;
-      if (this.#lapse.noteRemoved(id, storeHealth(), nowMs())) {
+      if (this.#lapse.noteRemoved(id, this.#options.store(), nowMs())) {
         log.event("target_gone", { target: id, reason: "removed" });
         this.#removeTarget(id);
       } else log.event("target_lapsed", { target: id });
@@ -201,7 +200,6 @@
   }
 
   #storeAgeMs(): number {
-    const { storeHealth, nowMs } = this.#options;
-    return Math.round(storeHealth().ageMs(nowMs()));
+    return Math.round(this.#options.store().ageMs);
   }
 }
--- a/src/node/entry/control_state.ts
+++ b/src/node/entry/control_state.ts
@@ -1,21 +1,50 @@
 /**
  * What an entry host holds of the store's objects, followed in the store and
- * completed from peers.
+ * completed from other hosts.
  *
  * @module
  */
+import type { HostReport } from "../../core/membership/report.ts";
 import { KindView, type ViewNews } from "../../core/store/kind_view.ts";
-import { type PeerPosition, PeerSync } from "../../core/store/peer_sync.ts";
+import { PeerSync } from "../../core/store/peer_sync.ts";
 import { StoreHealth } from "../../core/store/store_health.ts";
+import {
+  combineOutlook,
+  reportOf,
+  type StoreOutlook,
+  type StoreReport,
+} from "../../core/store/store_outlook.ts";
 import { type Kind, type KindDelta, KINDS } from "../../core/store/types.ts";
+import { WatchDuty } from "../../core/store/watch_duty.ts";
 import type { Random } from "../../core/types.ts";
 import { fetchFromPeer } from "../peer/peer_service.ts";
-import { KindFollower } from "../store/kind_follower.ts";
-import type { ObjectStore } from "../store/object_store.ts";
+import type { PushedDelta } from "../peer/report_codec.ts";
+import { type FollowMode, KindFollower } from "../store/kind_follower.ts";
+import { type ObjectStore, StoreError } from "../store/object_store.ts";
 import type { Log } from "../telemetry/log.ts";
 
 /** Longest time for a peer to answer. */
 const FETCH_TIMEOUT_MS = 800;
+/** Time between two checks of a watched store. */
+const PROBE_MS = 1_000;
+
+/**
+ * How kinds are followed by hosts that do not watch. The document is too
+ * large to be passed on, and hosts that join are heard from by themselves.
+ */
+const MODES: Readonly<Record<Kind, FollowMode>> = {
+  document: "watch",
+  targets: "wait",
+  releases: "wait",
+  evacuations: "wait",
+  hosts: "list",
+};
+
+/** A report of another host and when it arrived. */
+export interface HeardReport {
+  readonly report: HostReport;
+  readonly atMs: number;
+}
 
 /** What the state is built from. */
 export interface ControlStateOptions {
@@ -25,8 +54,8 @@
   readonly log: Log;
   /** Objects of a kind have changed. */
   readonly onNews: (kind: Kind, news: ViewNews) => void;
-  /** The first list of a kind, from the store or a peer, was applied. */
-  readonly onFirst: (kind: Kind) => void;
+  /** Passes changes on to other hosts. */
+  readonly pass: (pushed: PushedDelta) => void;
 }
 
 /** Views of all kinds. */
@@ -36,11 +65,15 @@
   readonly #followers = new Map<Kind, KindFollower>();
   readonly #sync = new PeerSync();
   readonly #health = new StoreHealth();
+  readonly #duty = new WatchDuty();
+  #outlook: StoreOutlook;
   #fetching = false;
+  #probedMs = -Infinity;
 
   constructor(options: ControlStateOptions) {
     this.#options = options;
-    const { store, random } = options;
+    const { store, random, nowMs } = options;
+    this.#outlook = combineOutlook(this.report(), [], nowMs());
     for (const kind of KINDS) {
       const view = new KindView();
       this.#views.set(kind, view);
@@ -48,10 +81,11 @@
         kind,
         new KindFollower({
           kind,
+          mode: this.#modeOf(kind),
           view,
           store,
           random,
-          onNews: (news) => this.#tell(kind, news),
+          onNews: (news, before) => this.#tell(kind, news, before),
           onAnswer: () => this.noteAnswer(),
           onFailure: (error) => this.noteFailure(error.message),
         }),
@@ -59,9 +93,14 @@
     }
   }
 
-  /** Whether the store answers. */
-  get health(): StoreHealth {
-    return this.#health;
+  /** The store's state as all hosts that watch it see it. */
+  get outlook(): StoreOutlook {
+    return this.#outlook;
+  }
+
+  /** Whether calls of this host to the store fail. */
+  get isFailing(): boolean {
+    return this.#health.isFailing;
   }
 
   /** Starts to follow. Returns a function that stops it. */
@@ -75,6 +114,12 @@
     return this.#views.get(kind) as KindView;
   }
 
+  /** The store as this host sees it, for other hosts. */
+  report(): StoreReport {
+    const { nowMs } = this.#options;
+    return reportOf(this.#health, this.#duty.watches, nowMs());
+  }
+
   /** Newest change that is held of each kind, for other hosts. */
   changedRevisions(): Map<Kind, number> {
     return new Map(
@@ -87,20 +132,42 @@
     return this.view(kind).deltaSince(revision);
   }
 
-  /** Compares with what other hosts hold. Called a few times a second. */
-  compare(peers: readonly PeerPosition[]): void {
-    const { nowMs } = this.#options;
-    const own = new Map(
-      KINDS.map((kind) => [kind, this.view(kind).revision] as const),
-    );
-    const storeFails = this.#health.isFailing;
-    for (
-      const effect of this.#sync.tick({ own, peers, storeFails }, nowMs())
-    ) {
-      if (effect.type === "rewatch") {
-        this.#followers.get(effect.kind)?.restart();
-      } else this.fetchFrom(effect.from);
+  /**
+   * Compares with what other hosts hold and decides who watches. Called a few
+   * times a second.
+   *
+   * @param rank Place of this host in the order of hosts that watch.
+   */
+  tick(rank: number, peers: readonly HeardReport[]): void {
+    const { nowMs, log } = this.#options;
+    const atMs = nowMs();
+    const watches = peers.map(({ report: { store }, atMs: heardMs }) => ({
+      watches: store.watches,
+      isFailing: store.isFailing,
+      storeAgeMs: store.ageMs + atMs - heardMs,
+    }));
+    if (this.#duty.tick(rank, watches, atMs)) {
+      log.event("store_watch", { watches: this.#duty.watches, rank });
+      this.#setModes();
     }
+    this.#outlook = combineOutlook(
+      this.report(),
+      peers.map(({ report: { store }, atMs: heardMs }) => ({
+        report: store,
+        atMs: heardMs,
+      })),
+      atMs,
+    );
+    this.#compare(peers);
+    if (this.#duty.watches && atMs - this.#probedMs >= PROBE_MS) this.#probe();
+  }
+
+  /** Takes over changes that another host passes on. */
+  takePushed({ kind, baseRevision, delta }: PushedDelta): void {
+    const view = this.view(kind);
+    // Without the changes before, the delta is not whole.
+    if (view.revision < 0 || view.revision < baseRevision) return;
+    this.#tell(kind, view.applyDelta(delta));
   }
 
   /** Fetches what a peer holds beyond the own views. */
@@ -109,9 +176,7 @@
     this.#fetching = true;
     const { log } = this.#options;
     try {
-      const own = new Map(
-        KINDS.map((kind) => [kind, this.view(kind).revision] as const),
-      );
+      const own = this.#revisions();
       const deltas = await fetchFromPeer(peerAddress, own, FETCH_TIMEOUT_MS);
       for (const [kind, delta] of deltas) {
         if (delta.revision < 0) continue;
@@ -136,7 +201,10 @@
   /** Notes an answer of the store. */
   noteAnswer(): void {
     const { nowMs, log } = this.#options;
-    if (this.#health.noteAnswer(nowMs())) log.event("store_regained");
+    if (!this.#health.noteAnswer(nowMs())) return;
+    log.event("store_regained");
+    // Watches from before the failure may wait on connections that are gone.
+    for (const follower of this.#followers.values()) follower.catchUp();
   }
 
   /** Notes a call to the store without a usable answer. */
@@ -145,14 +213,60 @@
     if (this.#health.noteFailure(nowMs())) log.warn("store_lost", { reason });
   }
 
-  #told = new Set<Kind>();
+  #revisions(): Map<Kind, number> {
+    return new Map(KINDS.map((kind) => [kind, this.view(kind).revision]));
+  }
+
+  #compare(peers: readonly HeardReport[]): void {
+    const { nowMs } = this.#options;
+    const effects = this.#sync.tick({
+      own: this.#revisions(),
+      peers: peers.map(({ report }) => ({
+        peerAddress: report.record.peerAddress,
+        revisions: report.revisions,
+      })),
+      storeFails: this.#health.isFailing,
+    }, nowMs());
+    for (const effect of effects) {
+      if (effect.type === "rewatch") {
+        this.#followers.get(effect.kind)?.catchUp();
+      } else this.fetchFrom(effect.from);
+    }
+  }
+
+  async #probe(): Promise<void> {
+    const { store, nowMs } = this.#options;
+    this.#probedMs = nowMs();
+    try {
+      await store.probe();
+      this.noteAnswer();
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      this.noteFailure(error.message);
+    }
+  }
+
+  #setModes(): void {
+    for (const [kind, follower] of this.#followers) {
+      follower.setMode(this.#modeOf(kind));
+    }
+  }
+
+  #modeOf(kind: Kind): FollowMode {
+    const mode = MODES[kind];
+    return mode === "wait" && this.#duty.watches ? "watch" : mode;
+  }
 
-  #tell(kind: Kind, news: ViewNews): void {
-    if (news.changed.length + news.removed.length > 0) {
-      this.#options.onNews(kind, news);
+  /** Takes news over, and passes on what the store has told since a change. */
+  #tell(kind: Kind, news: ViewNews, changedBefore?: number): void {
+    if (news.changed.length + news.removed.length === 0) return;
+    const { onNews, pass } = this.#options;
+    const passes = this.#duty.watches && MODES[kind] === "wait";
+    if (passes && changedBefore !== undefined) {
+      const view = this.view(kind);
+      const delta = view.deltaSince(changedBefore);
+      pass({ kind, baseRevision: changedBefore, delta });
     }
-    if (this.#told.has(kind) || this.view(kind).revision < 0) return;
-    this.#told.add(kind);
-    this.#options.onFirst(kind);
+    onNews(kind, news);
   }
 }
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -41,7 +41,7 @@
 import { loadTracing } from "../telemetry/tracing.ts";
 import type { WireNames } from "../wire_names.ts";
 import { ControlReader } from "./control_reader.ts";
-import { ControlState } from "./control_state.ts";
+import { ControlState, type HeardReport } from "./control_state.ts";
 import { ReleaseRunner } from "./release_runner.ts";
 import { RequestHandler } from "./request_handler.ts";
 import { createRequestParts } from "./request_parts.ts";
@@ -156,12 +156,15 @@
       reader.apply(kind, news);
       if (kind === "targets") measureDistances();
     },
-    onFirst: (kind) => log.event("objects_known", { kind }),
+    pass: (pushed) => {
+      exchange.pass(pushed);
+      exchange.push();
+    },
   });
   const reader = new ControlReader({
     codec,
     view: (kind) => control.view(kind),
-    storeHealth: () => control.health,
+    store: () => control.outlook,
     targets,
     releases,
     membership,
@@ -229,6 +232,7 @@
     metrics,
     report,
     onReport,
+    onPushed: (pushed) => control.takePushed(pushed),
   });
   const releaseRunner = new ReleaseRunner({
     releases,
@@ -299,6 +303,7 @@
     return {
       record: { ...self, startedMs, sequence, state: hostState() },
       revisions: control.changedRevisions(),
+      store: control.report(),
       demands: quotas.report(atMs),
       counts: counts.own(releases.openServices()),
       stopped: releases.stopped(),
@@ -307,15 +312,15 @@
     };
   }
 
-  const peerRevisions = new Map<string, HostReport>();
+  const heard = new Map<string, HeardReport>();
 
   function onReport(peer: HostReport): void {
     const { id } = peer.record;
-    if (!peerRevisions.has(id)) {
+    if (!heard.has(id)) {
       log.event("host_met", { peer: id, state: peer.record.state });
       followHosts();
     }
-    peerRevisions.set(id, peer);
+    heard.set(id, { report: peer, atMs: nowMs() });
     quotas.notePeer(id, peer.demands, nowMs());
     counts.setPeer(`${id} ${peer.record.startedMs}`, peer.counts);
     for (const stopped of peer.stopped) {
@@ -369,7 +374,7 @@
   function answerMetrics(_req: IncomingMessage, res: ServerResponse): void {
     metrics.liveHosts.set(membership.live(nowMs()).length);
     metrics.inProgress.set(handler.inProgress);
-    metrics.storeAge.set(control.health.ageMs(nowMs()) / 1_000);
+    metrics.storeAge.set(control.outlook.ageMs / 1_000);
     metrics.registry.metrics().then((text) => {
       res.writeHead(200, { "content-type": metrics.registry.contentType });
       res.end(text);
@@ -382,7 +387,7 @@
       host: self,
       state: hostState(),
       documentVersion: reader.document?.version,
-      storeAgeMs: Math.round(control.health.ageMs(atMs)),
+      storeAgeMs: Math.round(control.outlook.ageMs),
       liveHosts: membership.live(atMs).map(({ id, state }) => ({ id, state })),
       evacuatedZones: [...reader.evacuatedZones],
       stoppedVersions: releases.stopped(),
@@ -410,7 +415,7 @@
     while (reader.document === undefined) {
       await sleep(ASK_SEEDS_MS);
       for (const seed of settings.seeds) {
-        if (reader.document !== undefined || !control.health.isFailing) break;
+        if (reader.document !== undefined || !control.isFailing) break;
         if (seed !== self.peerAddress) await control.fetchFrom(seed);
       }
     }
@@ -439,11 +444,10 @@
     reader.tick();
     releaseRunner.tick();
     pool.prune(atMs);
-    control.compare(
-      membership.live(atMs).map(({ id, peerAddress }) => ({
-        peerAddress,
-        revisions: peerRevisions.get(id)?.revisions ?? new Map(),
-      })),
+    control.tick(
+      membership.dutyRank("watch", atMs),
+      membership.live(atMs).map(({ id }) => heard.get(id))
+        .filter((one) => one !== undefined),
     );
   }, TURN_MS);
 
--- a/src/node/entry/release_runner.ts
+++ b/src/node/entry/release_runner.ts
@@ -37,7 +37,7 @@
     const { releases, membership, control, nowMs } = this.#options;
     const at = nowMs();
     const effects = releases.tick({
-      storeAgeMs: control.health.ageMs(at),
+      storeAgeMs: control.outlook.ageMs,
       hearsMostHosts:
         2 * (membership.live(at).length + 1) > membership.addresses().length,
       writesFor: (service) => membership.holdsDuty(`release ${service}`, at),
--- a/src/node/peer/peer_calls.ts
+++ b/src/node/peer/peer_calls.ts
@@ -12,7 +12,7 @@
 import type { Kind, KindDelta } from "../../core/store/types.ts";
 import { PeerService } from "../../gen/cranberryhoist/v1/peer_pb.ts";
 import type { PeerHandlers } from "./peer_service.ts";
-import { isKind } from "./report_codec.ts";
+import { deltaFromMessage, deltaToMessage, isKind } from "./delta_codec.ts";
 
 /** Creates the handler of calls. */
 export function createPeerListener(handlers: PeerHandlers): RequestListener {
@@ -20,22 +20,11 @@
     routes: (router) =>
       router.service(PeerService, {
         fetchObjects: ({ positions }) => ({
-          deltas: positions.filter(({ kind }) => isKind(kind))
-            .map(({ kind, revision }) => {
-              const delta = handlers.deltaSince(kind as Kind, revision);
-              return {
-                kind,
-                whole: delta.whole,
-                removed: [...delta.removed],
-                revision: delta.revision,
-                objects: delta.objects.map((object) => ({
-                  name: object.name,
-                  revision: object.revision,
-                  specification: toJson(object.specification),
-                  status: toJson(object.status),
-                })),
-              };
-            }),
+          deltas: positions.flatMap(({ kind, revision }) =>
+            isKind(kind)
+              ? [deltaToMessage(kind, handlers.deltaSince(kind, revision))]
+              : []
+          ),
         }),
         describe: () => ({ description: JSON.stringify(handlers.describe()) }),
       }),
@@ -51,22 +40,9 @@
   const answer = await clientOf(peerAddress).fetchObjects({
     positions: [...positions].map(([kind, revision]) => ({ kind, revision })),
   }, { timeoutMs });
-  return new Map(
-    answer.deltas.filter(({ kind }) => isKind(kind)).map((delta) => [
-      delta.kind as Kind,
-      {
-        whole: delta.whole,
-        removed: delta.removed,
-        revision: delta.revision,
-        objects: delta.objects.map((object) => ({
-          name: object.name,
-          revision: object.revision,
-          specification: JSON.parse(object.specification),
-          status: JSON.parse(object.status),
-        })),
-      },
-    ]),
-  );
+  const decoded = answer.deltas.map(deltaFromMessage)
+    .filter((one) => one !== undefined);
+  return new Map(decoded.map(({ kind, delta }) => [kind, delta]));
 }
 
 /** Asks a host what it knows. */
@@ -87,7 +63,3 @@
     }),
   );
 }
-
-function toJson(value: unknown): string {
-  return JSON.stringify(value ?? null);
-}
--- a/src/node/peer/report_codec.ts
+++ b/src/node/peer/report_codec.ts
@@ -1,31 +1,64 @@
 /**
- * Encoding of host reports into datagrams.
+ * Encoding of datagrams between hosts.
  *
  * @module
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { HostReport } from "../../core/membership/report.ts";
 import type { HostState } from "../../core/membership/types.ts";
-import { type Kind, KINDS } from "../../core/store/types.ts";
+import type { StoreReport } from "../../core/store/store_outlook.ts";
+import type { Kind, KindDelta } from "../../core/store/types.ts";
 import {
   type HostReport as HostReportMessage,
   HostReportSchema,
-  ReportDatagramSchema,
+  PeerDatagramSchema,
+  type StoreReport as StoreReportMessage,
 } from "../../gen/cranberryhoist/v1/peer_pb.ts";
+import { deltaFromMessage, deltaToMessage, isKind } from "./delta_codec.ts";
 
 const STATES: readonly HostState[] = ["starting", "ready", "leaving"];
+/** Stands for a time that has no value. */
+const NEVER = -1;
 
-/** Encodes reports for one datagram. */
-export function encodeReports(reports: readonly HostReport[]): Uint8Array {
+/** Changes that are passed on. */
+export interface PushedDelta {
+  readonly kind: Kind;
+  /** Newest change that the receiver has to hold already. */
+  readonly baseRevision: number;
+  readonly delta: KindDelta;
+}
+
+/** What a datagram carries. */
+export interface PeerDatagram {
+  readonly reports: readonly HostReport[];
+  readonly pushed: readonly PushedDelta[];
+}
+
+/** Encodes a datagram. */
+export function encodeDatagram(datagram: Partial<PeerDatagram>): Uint8Array {
+  const { reports = [], pushed = [] } = datagram;
   return toBinary(
-    ReportDatagramSchema,
-    create(ReportDatagramSchema, { reports: reports.map(toMessage) }),
+    PeerDatagramSchema,
+    create(PeerDatagramSchema, {
+      reports: reports.map(toMessage),
+      pushed: pushed.map(({ kind, baseRevision, delta }) => ({
+        baseRevision,
+        delta: deltaToMessage(kind, delta),
+      })),
+    }),
   );
 }
 
 /** Decodes a datagram; throws when it can't be read. */
-export function decodeReports(bytes: Uint8Array): HostReport[] {
-  return fromBinary(ReportDatagramSchema, bytes).reports.map(fromMessage);
+export function decodeDatagram(bytes: Uint8Array): PeerDatagram {
+  const { reports, pushed } = fromBinary(PeerDatagramSchema, bytes);
+  return {
+    reports: reports.map(fromMessage),
+    pushed: pushed.flatMap(({ baseRevision, delta }) => {
+      const decoded = delta && deltaFromMessage(delta);
+      return decoded === undefined ? [] : [{ ...decoded, baseRevision }];
+    }),
+  };
 }
 
 function toMessage(report: HostReport): HostReportMessage {
@@ -50,6 +83,12 @@
     counts: report.counts.map((count) => ({ ...count })),
     stopped: report.stopped.map((stopped) => ({ ...stopped })),
     blames: report.blames.map((blame) => ({ ...blame })),
+    store: {
+      watches: report.store.watches,
+      isFailing: report.store.isFailing,
+      ageMs: finiteOr(NEVER, report.store.ageMs),
+      sinceReturnMs: finiteOr(NEVER, report.store.sinceReturnMs),
+    },
   });
 }
 
@@ -78,6 +117,18 @@
     counts: message.counts,
     stopped: message.stopped,
     blames: message.blames,
+    store: storeOf(message.store),
+  };
+}
+
+function storeOf(message: StoreReportMessage | undefined): StoreReport {
+  const time = (ms: number | undefined) =>
+    ms === undefined || ms === NEVER ? Infinity : ms;
+  return {
+    watches: message?.watches ?? false,
+    isFailing: message?.isFailing ?? false,
+    ageMs: time(message?.ageMs),
+    sinceReturnMs: time(message?.sinceReturnMs),
   };
 }
 
@@ -85,7 +136,6 @@
   return STATES.find((state) => state === name) ?? "starting";
 }
 
-/** Whether a name is a kind that this version knows. */
-export function isKind(name: string): name is Kind {
-  return (KINDS as readonly string[]).includes(name);
+function finiteOr(fallback: number, value: number): number {
+  return Number.isFinite(value) ? value : fallback;
 }
--- a/src/node/peer/report_exchange.ts
+++ b/src/node/peer/report_exchange.ts
@@ -10,12 +10,19 @@
 import { ExitError } from "../exit_status.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { Metrics } from "../telemetry/metrics.ts";
-import { decodeReports, encodeReports } from "./report_codec.ts";
+import {
+  decodeDatagram,
+  encodeDatagram,
+  type PeerDatagram,
+  type PushedDelta,
+} from "./report_codec.ts";
 
 /** Time between two reports. */
 const REPORT_MS = 250;
 /** Shortest time between two reports that are sent for news. */
 const NEWS_SPACING_MS = 30;
+/** Largest datagram; others fetch what does not fit. */
+const MAX_DATAGRAM_BYTES = 16_384;
 /** Reports of other hosts that fit into one datagram with certainty. */
 const REPORTS_PER_DATAGRAM = 24;
 
@@ -32,6 +39,8 @@
   readonly report: () => HostReport;
   /** A newer report of another host has arrived. */
   readonly onReport: (report: HostReport) => void;
+  /** Another host passes changes of the store on. */
+  readonly onPushed: (pushed: PushedDelta) => void;
 }
 
 /** Sends this host's reports and takes those of others. */
@@ -81,6 +90,15 @@
     if (nowMs() - this.#sentMs >= NEWS_SPACING_MS) this.#schedule(0);
   }
 
+  /** Passes changes of the store on to all hosts, if a datagram holds them. */
+  pass(pushed: PushedDelta): void {
+    const bytes = encodeDatagram({ pushed: [pushed] });
+    if (bytes.length > MAX_DATAGRAM_BYTES) return;
+    for (const { peerAddress } of this.#options.membership.addresses()) {
+      this.#sendBytes(peerAddress, bytes);
+    }
+  }
+
   /** Stops to report. */
   close(): void {
     if (this.#closed) return;
@@ -109,7 +127,7 @@
     this.#sentMs = nowMs();
     const own = report();
     const recipients = membership.recipients(nowMs());
-    const ownBytes = encodeReports([own]);
+    const ownBytes = encodeDatagram({ reports: [own] });
     for (const { to, carries } of recipients) {
       if (carries === "own") this.#sendBytes(to.peerAddress, ownBytes);
     }
@@ -128,7 +146,8 @@
       .filter((report) => report !== undefined);
     const all = [own, ...live];
     for (let i = 0; i < all.length; i += REPORTS_PER_DATAGRAM) {
-      const bytes = encodeReports(all.slice(i, i + REPORTS_PER_DATAGRAM));
+      const reports = all.slice(i, i + REPORTS_PER_DATAGRAM);
+      const bytes = encodeDatagram({ reports });
       for (const { peerAddress } of to) this.#sendBytes(peerAddress, bytes);
     }
   }
@@ -141,16 +160,18 @@
   }
 
   #receive(bytes: Buffer): void {
-    const { membership, nowMs, onReport, metrics, log } = this.#options;
+    const { membership, nowMs, onReport, onPushed, metrics, log } =
+      this.#options;
     metrics.peerMessages.inc({ direction: "received" });
-    let reports: HostReport[];
+    let datagram: PeerDatagram;
     try {
-      reports = decodeReports(bytes);
+      datagram = decodeDatagram(bytes);
     } catch (error) {
       log.warn("datagram_unreadable", { reason: (error as Error).message });
       return;
     }
-    for (const report of reports) {
+    for (const pushed of datagram.pushed) onPushed(pushed);
+    for (const report of datagram.reports) {
       if (!membership.note(report.record, nowMs())) continue;
       this.#reports.set(report.record.id, report);
       onReport(report);
--- a/src/node/store/kind_follower.ts
+++ b/src/node/store/kind_follower.ts
@@ -12,9 +12,13 @@
 
 /**
  * Time for which the store holds a watch. A connection that went silent is
- * noticed at its end at the latest.
+ * noticed by other hosts' revisions, or at the end of the watch.
  */
-const WATCH_MS = 6_000;
+const WATCH_MS = 12_000;
+/** Time for which the store holds a call that only catches up. */
+const CATCH_UP_MS = 0;
+/** Time between two lists of a kind that is not watched. */
+const LIST_MS = 10_000;
 /**
  * Pause after an answer with changes, so that one call carries many. It adds
  * to the time until a change is known, which is bounded by two seconds.
@@ -24,13 +28,27 @@
 const MIN_RETRY_MS = 150;
 const MAX_RETRY_MS = 1_000;
 
+/** How a kind is followed. */
+export type FollowMode =
+  /** By a watch that waits for changes. */
+  | "watch"
+  /** By lists from time to time, which may be stale and cost less. */
+  | "list"
+  /** By what other hosts pass on. */
+  | "wait";
+
 /** What a follower is built from. */
 export interface KindFollowerOptions {
   readonly kind: Kind;
+  readonly mode: FollowMode;
   readonly view: KindView;
   readonly store: ObjectStore;
   readonly random: Random;
-  readonly onNews: (news: ViewNews) => void;
+  /**
+   * Told about changes, with the newest one known before; `undefined` with the
+   * first list.
+   */
+  readonly onNews: (news: ViewNews, changedBefore?: number) => void;
   /** The store answered. */
   readonly onAnswer: () => void;
   /** A call had no usable answer. */
@@ -41,53 +59,70 @@
 export class KindFollower {
   readonly #options: KindFollowerOptions;
   readonly #stop = new AbortController();
+  #mode: FollowMode;
+  #wake = new AbortController();
   #failures = 0;
-  #wake: AbortController | undefined;
+  #mustList = true;
+  #mustCatchUp = false;
 
   constructor(options: KindFollowerOptions) {
     this.#options = options;
+    this.#mode = options.mode;
   }
 
   /** Starts to follow. Returns a function that stops it. */
   start(): () => void {
     this.#run();
-    return () => this.#stop.abort();
+    return () => {
+      this.#stop.abort();
+      this.#wake.abort();
+    };
+  }
+
+  /** Changes how the kind is followed. */
+  setMode(mode: FollowMode): void {
+    if (mode === this.#mode) return;
+    this.#mode = mode;
+    this.#wake.abort();
   }
 
-  /** Gives up the present watch, as a peer holds a later change. */
-  restart(): void {
-    this.#wake?.abort();
+  /** Asks the store at once for changes that another host holds. */
+  catchUp(): void {
+    this.#mustCatchUp = true;
+    this.#wake.abort();
   }
 
   async #run(): Promise<void> {
-    const { signal } = this.#stop;
-    while (!signal.aborted) {
+    while (!this.#stop.signal.aborted) {
+      this.#wake = new AbortController();
       const pauseMs = await this.#step();
-      if (pauseMs > 0 && !signal.aborted) {
-        await sleep(pauseMs, undefined, { signal }).catch(() => {});
-      }
+      if (pauseMs <= 0) continue;
+      await sleep(pauseMs, undefined, { signal: this.#wake.signal })
+        .catch(() => {});
     }
   }
 
-  /** Makes one call. Returns the time until the next one. */
+  /** Makes one call if it is time. Returns the time until the next step. */
   async #step(): Promise<number> {
-    const { onAnswer, onFailure, onNews } = this.#options;
-    const wake = new AbortController();
-    this.#wake = wake;
+    const { onAnswer, onFailure, onNews, view } = this.#options;
+    const { signal } = this.#wake;
+    const isIdle = this.#mode === "wait" && !this.#mustList &&
+      !this.#mustCatchUp;
+    if (isIdle) return LIST_MS;
+    const changedBefore = view.revision < 0 ? undefined : view.changedRevision;
     try {
-      const news = await this.#call(
-        AbortSignal.any([this.#stop.signal, wake.signal]),
-      );
+      const news = await this.#call(signal);
       this.#failures = 0;
       onAnswer();
-      onNews(news);
+      onNews(news, changedBefore);
+      if (this.#mode === "list") return LIST_MS;
       return news.changed.length + news.removed.length > 0 ? GATHER_MS : 0;
     } catch (error) {
-      if (this.#stop.signal.aborted || wake.signal.aborted) return 0;
+      if (signal.aborted) return 0;
       if (!(error instanceof StoreError)) throw error;
       if (error.kind === "compacted") {
         onAnswer();
-        this.#relist = true;
+        this.#mustList = true;
         return 0;
       }
       onFailure(error);
@@ -95,19 +130,20 @@
     }
   }
 
-  #relist = false;
-
   async #call(signal: AbortSignal): Promise<ViewNews> {
     const { kind, view, store } = this.#options;
-    if (view.revision < 0 || this.#relist) {
-      const { objects, revision } = await store.list(kind);
-      this.#relist = false;
+    if (this.#mustList || this.#mode === "list") {
+      const stale = !this.#mustList;
+      const { objects, revision } = await store.list(kind, { stale });
+      this.#mustList = false;
       return view.applyList(objects, revision);
     }
+    const waitMs = this.#mustCatchUp ? CATCH_UP_MS : WATCH_MS;
     const { changes, revision } = await store.watch(kind, view.revision, {
-      waitMs: WATCH_MS,
+      waitMs,
       signal,
     });
+    this.#mustCatchUp = false;
     return view.applyChanges(changes, revision);
   }
 
--- a/src/node/store/object_store.ts
+++ b/src/node/store/object_store.ts
@@ -72,6 +72,8 @@
   ): Promise<void>;
   /** Removes an object; one that is absent already is no error. */
   remove(kind: Kind, name: string): Promise<void>;
+  /** Checks whether the store answers, at little cost. */
+  probe(): Promise<void>;
   /** Closes the connections. */
   close(): void;
 }
