Keep a restarted host to its share for a window

For one window after a restart a host keeps to its share of the plain rate. Tokens that a full window saves up are dropped, as they came back as the next burst.

--- a/src/core/limits/quotas.ts
+++ b/src/core/limits/quotas.ts
@@ -44,7 +44,7 @@
  * Part of excess and slack that is used. The rest covers shares that differ
  * while hosts learn of each other's demand.
  */
-const USED_EXCESS_PART = 0.6;
+const USED_EXCESS_PART = 0.5;
 
 /** How an organisation's rate and burst are understood. */
 export interface QuotaBounds {
@@ -103,10 +103,20 @@
   #startsFull: boolean;
   /** Whether most hosts are heard. */
   #holds = false;
+  /** Until then each host keeps to its share. */
+  readonly #strictUntilMs: number;
 
-  constructor(bounds: QuotaBounds, options: { startsFull?: boolean } = {}) {
+  /**
+   * @param options `startsFull` tells that no earlier run has spent anything.
+   */
+  constructor(
+    bounds: QuotaBounds,
+    { startsFull = false, nowMs }: { startsFull?: boolean; nowMs: number },
+  ) {
     this.#bounds = bounds;
-    this.#startsFull = options.startsFull ?? false;
+    this.#startsFull = startsFull;
+    // What an earlier run has admitted counts in the windows until then.
+    this.#strictUntilMs = startsFull ? -Infinity : nowMs + bounds.windowMs;
   }
 
   /** Takes over the organisations of a document. */
@@ -159,6 +169,9 @@
       return ADMITTED;
     }
     if (window.total(nowMs) + 1 > this.#windowLimit(quota)) {
+      // Tokens that were saved meanwhile would be the next burst.
+      refill(bucket, nowMs);
+      bucket.tokens = 0;
       const waitMs = this.#bounds.windowMs * FULL_WINDOW_WAIT_PART;
       return { admitted: false, waitMs };
     }
@@ -197,7 +210,7 @@
       quota.allPerS = quota.meter.peakPerS + othersPerS;
       quota.share = FIXED_PART / hosts +
         (this.#holds ? (1 - FIXED_PART) * floating : 0);
-      resize(quota.bucket, this.#bucketOf(quota), nowMs);
+      resize(quota.bucket, this.#bucketOf(quota, nowMs), nowMs);
     }
   }
 
@@ -223,7 +236,8 @@
 
   #create(organisation: Organisation, nowMs: number): Quota {
     const share = 1 / (this.#peers.size + 1);
-    const bucket = createBucket(this.#bucketOf({ organisation, share }), nowMs);
+    const size = this.#bucketOf({ organisation, share }, nowMs);
+    const bucket = createBucket(size, nowMs);
     if (this.#startsFull) bucket.tokens = bucket.capacity;
     return {
       organisation,
@@ -239,7 +253,7 @@
   /** Whether only the sum over all hosts counts now. */
   #isRelaxed(quota: Quota, nowMs: number): boolean {
     const { organisation, allPerS, window } = quota;
-    if (!this.#holds) return false;
+    if (!this.#holds || nowMs < this.#strictUntilMs) return false;
     const allowed = this.#allowed(organisation);
     const { windowMs } = this.#bounds;
     if (allPerS * windowMs / 1_000 > RELAXED_PART * allowed) return false;
@@ -257,12 +271,19 @@
 
   /**
    * The burst may be used again in each window, so a sustained rate holds the
-   * bound of the window with the burst spread over it.
+   * bound of the window with the burst spread over it. After a restart an
+   * earlier run may have used the burst.
    */
-  #bucketOf({ organisation, share }: Pick<Quota, "organisation" | "share">) {
+  #bucketOf(
+    { organisation, share }: Pick<Quota, "organisation" | "share">,
+    nowMs: number,
+  ) {
     const windowS = this.#bounds.windowMs / 1_000;
+    const perS = nowMs < this.#strictUntilMs
+      ? organisation.ratePerS
+      : this.#allowed(organisation) / windowS;
     return {
-      ratePerS: share * this.#allowed(organisation) / windowS,
+      ratePerS: share * perS,
       capacity: Math.max(MIN_CAPACITY, organisation.burst * share),
     };
   }
--- a/src/core/limits/quotas_test.ts
+++ b/src/core/limits/quotas_test.ts
@@ -14,6 +14,8 @@
   readonly part: (host: number, nowMs: number) => number;
   readonly hosts: number;
   readonly ratePerS: number;
+  /** When all hosts lose what they know; never if absent. */
+  readonly restartMs?: number;
   /** Whether two hosts hear each other. */
   readonly hears?: (a: number, b: number, nowMs: number) => boolean;
 }
@@ -26,15 +28,18 @@
     burst: run.ratePerS,
   });
   const ids = Array.from({ length: run.hosts }, (_, i) => `host-${i}`);
-  const quotas = ids.map((id) => {
-    const one = new Quotas(BOUNDS, { startsFull: true });
-    one.setPeers(ids.filter((other) => other !== id));
-    one.configure([organisation], 0);
-    return one;
-  });
+  const start = (nowMs: number) =>
+    ids.map((id) => {
+      const one = new Quotas(BOUNDS, { startsFull: nowMs === 0, nowMs });
+      one.setPeers(ids.filter((other) => other !== id));
+      one.configure([organisation], nowMs);
+      return one;
+    });
+  let quotas = start(0);
   const admittedMs: number[] = [];
   let refused = 0;
   for (let nowMs = 0; nowMs < 30_000; nowMs += 10) {
+    if (nowMs === run.restartMs) quotas = start(nowMs);
     if (nowMs % 100 === 0) quotas.forEach((one) => one.update(nowMs));
     if (nowMs % REPORT_MS === 0) {
       const reports = quotas.map((one) => one.report(nowMs));
@@ -95,6 +100,20 @@
       perS: () => 200,
       part: (i, nowMs) => (nowMs > 10_000) === i < 3 ? 1 / 3 : 0,
     },
+    "all hosts restart during many times the rate": {
+      hosts: 9,
+      ratePerS: 90,
+      perS: () => 600,
+      part: even(9),
+      restartMs: 13_000,
+    },
+    "all hosts restart during a jump": {
+      hosts: 9,
+      ratePerS: 90,
+      perS: (nowMs) => nowMs > 12_000 ? 600 : 60,
+      part: even(9),
+      restartMs: 13_000,
+    },
     "halves that do not hear each other": {
       hosts: 12,
       ratePerS: 60,
@@ -111,7 +130,7 @@
     },
   };
   for (const [name, run] of Object.entries(runs)) {
-    for (const seed of [1, 2, 3]) {
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
       const most = busiestWindow(play(run, seed).admittedMs);
       assert.ok(most <= allowed(run.ratePerS), `${name}: ${most}`);
     }
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -129,7 +129,7 @@
     windowMs: settings.bounds.quotaWindowMs,
     excessPart: settings.bounds.quotaExcess,
     slack: settings.bounds.quotaSlack,
-  }, { startsFull: settings.firstStart });
+  }, { startsFull: settings.firstStart, nowMs: nowMs() });
   const roundTrips = new RoundTrips(host);
   const stopPlan = new StopPlan(() => options.settings.current.bounds.graceMs);
   const blocked = new Set<string>();
