Share the progress of releases between hosts

Hosts report how far a release is and take over what is further. Test: releases_test, restarts one after the other.

--- a/src/core/membership/report.ts
+++ b/src/core/membership/report.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import type { Demand } from "../limits/quotas.ts";
-import type { StoppedVersion, VersionCount } from "../release/types.ts";
+import type {
+  ReleaseProgress,
+  StoppedVersion,
+  VersionCount,
+} from "../release/types.ts";
 import type { StoreReport } from "../store/store_outlook.ts";
 import type { Kind } from "../store/types.ts";
 import type { HostRecord } from "./types.ts";
@@ -25,6 +29,7 @@
   readonly demands: ReadonlyMap<string, Demand>;
   readonly counts: readonly VersionCount[];
   readonly stopped: readonly StoppedVersion[];
+  readonly releases: readonly ReleaseProgress[];
   /** The store as the host sees it. */
   readonly store: StoreReport;
   /** What was learned recently. */
--- a/src/core/release/releases.ts
+++ b/src/core/release/releases.ts
@@ -24,6 +24,7 @@
   ReleaseBounds,
   ReleaseEffect,
   ReleaseOrder,
+  ReleaseProgress,
   StoppedVersion,
   VersionRule,
 } from "./types.ts";
@@ -137,6 +138,32 @@
     );
   }
 
+  /** How far the open releases are, for the other hosts. */
+  progress(nowMs: number): ReleaseProgress[] {
+    return [...this.#states.values()]
+      .filter((state) => !this.#isOver(state))
+      .map(({ order: { service, version }, firstSeenMs, goodMs }) => ({
+        service,
+        version,
+        seenForMs: nowMs - firstSeenMs,
+        goodForMs: goodMs === undefined ? undefined : nowMs - goodMs,
+      }));
+  }
+
+  /**
+   * Takes over how far a release is on another host, as this one may have
+   * started after the order.
+   */
+  noteProgress(progress: readonly ReleaseProgress[], nowMs: number): void {
+    for (const { service, version, seenForMs, goodForMs } of progress) {
+      const state = this.#states.get(service);
+      if (state === undefined || state.order.version !== version) continue;
+      state.firstSeenMs = Math.min(state.firstSeenMs, nowMs - seenForMs);
+      if (goodForMs === undefined) continue;
+      state.goodMs = Math.min(state.goodMs ?? Infinity, nowMs - goodForMs);
+    }
+  }
+
   /** Services with a release that is not over. */
   openServices(): ReadonlySet<string> {
     return new Set(
--- a/src/core/release/releases_test.ts
+++ b/src/core/release/releases_test.ts
@@ -25,6 +25,8 @@
   readonly durationMs: number;
   readonly newer: Version;
   readonly older: Version;
+  /** When a host restarts and knows nothing; never if absent. */
+  readonly restartMs?: (host: number) => number;
   /** Whether a host reaches the store. */
   readonly reachesStore?: (host: number, nowMs: number) => boolean;
   /** Whether hosts hear each other. */
@@ -45,14 +47,17 @@
     outcome,
     revision,
   });
-  const hosts = Array.from({ length: HOSTS }, () => {
+  const createHost = (): Host => {
     const counts = new VersionCounts();
     const releases = new Releases(counts, () => ({
       exposureShare: EXPOSURE.share,
     }));
     releases.noteVersions("desk", new Map([["v1", 1]]));
-    return { counts, releases };
-  });
+    runs += 1;
+    return { counts, releases, run: `run-${runs}` };
+  };
+  let runs = 0;
+  const hosts = Array.from({ length: HOSTS }, createHost);
   let all = 0;
   let exposed = 0;
   let bad = 0;
@@ -60,12 +65,15 @@
   let late = 0;
   const recent: boolean[] = [];
   for (let nowMs = 0; nowMs < world.durationMs + 6_000; nowMs += STEP_MS) {
+    hosts.forEach((_, i) => {
+      if (world.restartMs?.(i) === nowMs) hosts[i] = createHost();
+    });
     const reaches = (i: number) => world.reachesStore?.(i, nowMs) ?? true;
     const hears = (a: number, b: number) => world.hears?.(a, b, nowMs) ?? true;
     hosts.forEach(({ releases }, i) => {
       if (nowMs % 400 === 0 && reaches(i)) releases.setOrders([order()], nowMs);
     });
-    if (nowMs % 250 === 0) exchange(hosts, hears);
+    if (nowMs % 250 === 0) exchange(hosts, hears, nowMs);
     if (nowMs % 100 === 0) {
       hosts.forEach(({ releases }, i) => {
         const effects = releases.tick({
@@ -106,21 +114,25 @@
   return { outcome, all, exposed, late };
 }
 
-type Host = { counts: VersionCounts; releases: Releases };
+type Host = { counts: VersionCounts; releases: Releases; run: string };
 
 function exchange(
   hosts: readonly Host[],
   hears: (a: number, b: number) => boolean,
+  nowMs: number,
 ): void {
   const services = new Set(["desk"]);
-  const reports = hosts.map(({ counts, releases }) => ({
+  const reports = hosts.map(({ counts, releases, run }) => ({
+    run,
     counts: counts.own(services),
     stopped: releases.stopped(),
+    progress: releases.progress(nowMs),
   }));
   hosts.forEach(({ counts, releases }, to) =>
     reports.forEach((report, from) => {
       if (from === to || !hears(from, to)) return;
-      counts.setPeer(`host-${from}`, report.counts);
+      counts.setPeer(report.run, report.counts);
+      releases.noteProgress(report.progress, nowMs);
       for (const stopped of report.stopped) releases.stop(stopped);
     })
   );
@@ -186,6 +198,21 @@
   }
 });
 
+// Guards against a release that starts again because the host which writes its
+// outcome has restarted.
+test("restarts of hosts one after the other delay nothing", () => {
+  for (const seed of SEEDS) {
+    const world = {
+      perS: TRAFFIC,
+      durationMs: 15_000,
+      newer: GOOD,
+      older: GOOD,
+      restartMs: (host: number) => 11_000 - 900 * host,
+    };
+    assert.equal(play(world, seed).outcome, "complete", `seed ${seed}`);
+  }
+});
+
 // Guards against a share that is raised on stale knowledge, and against a bad
 // version that goes on because its evaluation lost the store or its peers.
 test("without the store or most hosts nothing is raised, a fault still stops", () => {
--- a/src/core/release/types.ts
+++ b/src/core/release/types.ts
@@ -40,6 +40,16 @@
   readonly reason: string;
 }
 
+/** How far a release is on one host. */
+export interface ReleaseProgress {
+  readonly service: string;
+  readonly version: string;
+  /** Time since the order was first seen, in milliseconds. */
+  readonly seenForMs: number;
+  /** Time since the version was found good; `undefined` before. */
+  readonly goodForMs: number | undefined;
+}
+
 /** What the shell has to do for a release. */
 export type ReleaseEffect =
   /** Tell other hosts at once. */
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -307,6 +307,7 @@
       demands: quotas.report(atMs),
       counts: counts.own(releases.openServices()),
       stopped: releases.stopped(),
+      releases: releases.progress(atMs),
       blames: blames.filter((blame) => atMs - blame.atMs < BLAME_REPORT_MS)
         .map(({ note }) => note),
     };
@@ -323,6 +324,7 @@
     heard.set(id, { report: peer, atMs: nowMs() });
     quotas.notePeer(id, peer.demands, nowMs());
     counts.setPeer(`${id} ${peer.record.startedMs}`, peer.counts);
+    releases.noteProgress(peer.releases, nowMs());
     for (const stopped of peer.stopped) {
       if (releases.stop(stopped)) {
         log.event("version_stopped", { ...stopped, from: id });
--- a/src/node/peer/report_codec.ts
+++ b/src/node/peer/report_codec.ts
@@ -83,6 +83,10 @@
     counts: report.counts.map((count) => ({ ...count })),
     stopped: report.stopped.map((stopped) => ({ ...stopped })),
     blames: report.blames.map((blame) => ({ ...blame })),
+    releases: report.releases.map(({ goodForMs = NEVER, ...release }) => ({
+      ...release,
+      goodForMs,
+    })),
     store: {
       watches: report.store.watches,
       isFailing: report.store.isFailing,
@@ -117,6 +121,10 @@
     counts: message.counts,
     stopped: message.stopped,
     blames: message.blames,
+    releases: message.releases.map(({ goodForMs, ...release }) => ({
+      ...release,
+      goodForMs: goodForMs === NEVER ? undefined : goodForMs,
+    })),
     store: storeOf(message.store),
   };
 }
