--- a/src/core/request/step.ts
+++ b/src/core/request/step.ts
@@ -25,6 +25,8 @@
 
 /** Sends that may reach no target besides those that count as attempts. */
 const MAX_UNCOUNTED_SENDS = 4;
+/** Time after which a request that was shed is worth another attempt. */
+const SHED_RETRY_MS = 60;
 /** An answer is bad for its version beyond this many cold times. */
 const SLOW_COLD_TIMES = 2;
 /** Shortest time without an answer after which a target is checked. */
@@ -107,6 +109,8 @@
     this.#end(request, {
       kind: request.mayHaveRun ? "target_failed" : "no_room",
       why: `the last attempt ended as ${outcome}`,
+      // A target that sheds may have room again at once.
+      retryAfterMs: outcome === "shed" ? SHED_RETRY_MS : undefined,
     });
   }
 
--- a/src/core/retry/retry_budget.ts
+++ b/src/core/retry/retry_budget.ts
@@ -6,7 +6,7 @@
  */
 
 /** Parts into which a window is divided for counting. */
-const SLICES = 10;
+const SLICES = 20;
 
 /** The bound as it is stated for all hosts together. */
 export interface RetryBounds {
@@ -21,7 +21,7 @@
  * Part of the bound that is used. The rest covers requests at the edges of
  * windows and hosts that restart within one.
  */
-const USED_PART = 0.6;
+const USED_PART = 0.75;
 
 /** Repeated sends of one host to one service. */
 export class RetryBudget {
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -30,7 +30,7 @@
 import type { Exchange } from "./exchange.ts";
 
 /** Time between two looks at deadlines. */
-const TICK_MS = 25;
+const TICK_MS = 50;
 
 type SendEffect = Extract<RequestEffect, { type: "send" }>;
 type RefuseEffect = Extract<RequestEffect, { type: "refuse" }>;
