--- /dev/null
+++ b/src/bin/cranberry_ctl.ts
@@ -0,0 +1,16 @@
+#!/usr/bin/env node
+/**
+ * The operators' command line.
+ *
+ * @module
+ */
+import { runCtl } from "../node/ctl/program.ts";
+import { runProgram } from "../node/exit_status.ts";
+
+await runProgram(
+  "cranberry-ctl",
+  () =>
+    runCtl(process.argv.slice(2), {
+      print: (line) => process.stdout.write(`${line}\n`),
+    }),
+);
--- a/src/core/balance/split_test.ts
+++ b/src/core/balance/split_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { seededRandom } from "../../bench/random.ts";
+import { seededRandom } from "../../testing/random.ts";
 import { hash32 } from "../hash32.ts";
 import { sampleRoute } from "../../testing/samples.ts";
 import { Splitter } from "./split.ts";
--- a/src/core/limits/quotas_test.ts
+++ b/src/core/limits/quotas_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { seededRandom } from "../../bench/random.ts";
+import { seededRandom } from "../../testing/random.ts";
 import { sampleOrganisation } from "../../testing/samples.ts";
 import { HOLD_MS, Quotas, RECLAIM_MS } from "./quotas.ts";
 
--- a/src/core/release/releases_test.ts
+++ b/src/core/release/releases_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { seededRandom } from "../../bench/random.ts";
+import { seededRandom } from "../../testing/random.ts";
 import { Releases } from "./releases.ts";
 import type { ReleaseOrder, ReleaseOutcome } from "./types.ts";
 import { VersionCounts } from "./version_counts.ts";
--- a/src/core/retry/retry_budget_test.ts
+++ b/src/core/retry/retry_budget_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { seededRandom } from "../../bench/random.ts";
+import { seededRandom } from "../../testing/random.ts";
 import { RetryBudget } from "./retry_budget.ts";
 
 const BOUNDS = { ratio: 0.2, slack: 64, windowMs: 10_000 };
--- /dev/null
+++ b/src/node/ctl/program.ts
@@ -0,0 +1,122 @@
+/**
+ * Commands of operators.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { Command, CommanderError } from "commander";
+import { documentSchema, findProblems } from "../../core/document/document.ts";
+import { type Kind, KINDS } from "../../core/store/types.ts";
+import { ExitError, formatHelp } from "../exit_status.ts";
+import { describeHost, fetchObjects } from "../peer/peer_calls.ts";
+
+/** Longest time for a host to answer. */
+const CALL_TIMEOUT_MS = 3_000;
+
+/** Options of the program. */
+export interface CtlOptions {
+  /** Writes a line of the result. */
+  readonly print: (line: string) => void;
+}
+
+/**
+ * Runs one command.
+ *
+ * @throws {ExitError} `usage`, `document` or `unreachable`.
+ */
+export async function runCtl(
+  args: readonly string[],
+  { print }: CtlOptions,
+): Promise<void> {
+  const command = new Command("cranberry-ctl")
+    .description("Shows what hosts know and checks documents.")
+    .addHelpText(
+      "after",
+      formatHelp([
+        "cranberry-ctl describe 192.0.2.7:7600",
+        "cranberry-ctl objects 192.0.2.7:7600 targets",
+        "cranberry-ctl check document.json",
+      ]),
+    )
+    .exitOverride()
+    .configureOutput({
+      writeErr: () => {},
+      writeOut: (text) => print(text.trimEnd()),
+    });
+  command.command("describe")
+    .argument("<address>", "peer address of a host")
+    .description("what a host believes: live hosts, versions, evacuations")
+    .action(async (address: string) => {
+      const description = await reach(
+        address,
+        () => describeHost(address, CALL_TIMEOUT_MS),
+      );
+      print(JSON.stringify(description, null, 2));
+    });
+  command.command("objects")
+    .argument("<address>", "peer address of a host")
+    .argument("<kind>", KINDS.join(", "))
+    .description("objects of the store that a host holds, one a line")
+    .action((address: string, kind: string) =>
+      printObjects({ address, kind, print })
+    );
+  command.command("check")
+    .argument("<file>", "document in JSON")
+    .description("checks a document without applying it")
+    .action((file: string) => checkDocument(file, print));
+  try {
+    await command.parseAsync(args, { from: "user" });
+  } catch (error) {
+    if (!(error instanceof CommanderError)) throw error;
+    if (error.exitCode !== 0) throw new ExitError("usage", error.message);
+  }
+}
+
+async function printObjects(
+  { address, kind, print }: {
+    address: string;
+    kind: string;
+    print: (line: string) => void;
+  },
+): Promise<void> {
+  const wanted = KINDS.find((one) => one === kind);
+  if (wanted === undefined) {
+    throw new ExitError("usage", `unknown kind ${kind}: ${KINDS.join(", ")}`);
+  }
+  const positions = new Map<Kind, number>([[wanted, -1]]);
+  const deltas = await reach(
+    address,
+    () => fetchObjects(address, positions, CALL_TIMEOUT_MS),
+  );
+  for (const object of deltas.get(wanted)?.objects ?? []) {
+    print(JSON.stringify(object));
+  }
+}
+
+async function reach<T>(address: string, call: () => Promise<T>): Promise<T> {
+  try {
+    return await call();
+  } catch (error) {
+    const reason = (error as Error).message;
+    throw new ExitError("unreachable", `${address}: ${reason}`);
+  }
+}
+
+function checkDocument(file: string, print: (line: string) => void): void {
+  let value: unknown;
+  try {
+    value = JSON.parse(readFileSync(file, "utf8"));
+  } catch (error) {
+    throw new ExitError("document", `${file}: ${(error as Error).message}`);
+  }
+  const parsed = documentSchema.safeParse(value);
+  const problems = parsed.success
+    ? findProblems(parsed.data)
+    : parsed.error.issues.map(({ path, message }) =>
+      `${path.join(".") || "(document)"}: ${message}`
+    );
+  if (problems.length > 0) {
+    throw new ExitError("document", `${file}: ${problems.join("; ")}`);
+  }
+  print(`${file}: version ${parsed.data?.version} is sound`);
+}
--- a/src/node/exit_status.ts
+++ b/src/node/exit_status.ts
@@ -13,10 +13,7 @@
   settings: 3,
   document: 4,
   addressInUse: 5,
-  platformUnreachable: 6,
-  conflict: 7,
-  refused: 8,
-  timeout: 9,
+  unreachable: 6,
 } as const;
 
 /** Name of an exit status. */
--- a/src/bench/random.ts
+++ b/src/testing/random.ts
@@ -1,5 +1,5 @@
 /**
- * Seeded random sources for experiments.
+ * Seeded random sources.
  *
  * @module
  */
@@ -11,8 +11,3 @@
   const generator = xoroshiro128plus(seed);
   return () => uniformFloat64(generator);
 }
-
-/** Draws from an exponential distribution with the given mean. */
-export function exponential(random: () => number, mean: number): number {
-  return -Math.log(1 - random()) * mean;
-}
