Let zones report as a whole in large fleets

A delegate relayed all reports of all hosts in datagrams of 24 reports, which did not all arrive, so half of the hosts heard fewer than half of the others and kept to the fixed part of each rate. Decoding took most of the processor time.

In fleets of 24 hosts or more a delegate now sends one summary of its zone to one host of each other zone, which passes it on. The next host of the zone takes over after 0.7 s of silence. Changes of the store travel the same way. Hosts do not watch the store in their first second.

--- a/src/core/limits/quotas.ts
+++ b/src/core/limits/quotas.ts
@@ -32,10 +32,20 @@
 export const RECLAIM_MS = 12_000;
 /** Age of a report above which a host is assumed to use its whole share. */
 const STALE_MS = 1_000;
+/** Silence of a zone after which the reports of its hosts count again. */
+const ZONE_SILENT_MS = 2 * RECLAIM_MS;
 /** Requests a second that are added to each host's demand, against chance. */
 const PRIOR_PER_S = 0.5;
 /** Part of the rate up to which hosts may exceed their shares. */
 const RELAXED_PART = 0.95;
+/** The same where zones report as a whole, as their reports are older. */
+const ZONED_RELAXED_PART = 0.65;
+/** Time in which what a host admits is unknown in other zones. */
+const UNSEEN_MS = 1_000;
+/** Requests that a host may admit beyond its share in that time at least. */
+const MIN_UNSEEN = 4;
+/** Factor on its usual requests by which it may exceed its share in it. */
+const UNSEEN_FACTOR = 2.5;
 /** Tokens that a host may save at least, so that rare requests pass. */
 const MIN_CAPACITY = 1;
 /** Delay that is stated when the window is full, as a part of the window. */
@@ -64,17 +74,27 @@
   readonly admitted: number;
 }
 
-/** What another host last reported. */
+/** What another host, or all hosts of a zone, last reported. */
 interface PeerDemand {
   demands: ReadonlyMap<string, Demand>;
   /** -Infinity for a host that has not reported yet. */
   heardMs: number;
+  /** Hosts that the report is about. */
+  hosts: number;
+}
+
+/** Another host. */
+export interface QuotaPeer {
+  readonly id: string;
+  readonly availabilityZone: string;
 }
 
 interface Quota {
   organisation: Organisation;
   readonly bucket: TokenBucket;
   readonly window: WindowCounter;
+  /** Admitted requests that other zones may not know of yet. */
+  readonly unseen: WindowCounter;
   readonly meter: DemandMeter;
   share: number;
   /** Demand that the other hosts know of. */
@@ -98,7 +118,10 @@
 export class Quotas {
   readonly #bounds: QuotaBounds;
   #byId = new Map<string, Quota>();
-  #peers = new Map<string, PeerDemand>();
+  #peers = new Map<string, PeerDemand & QuotaPeer>();
+  #zones = new Map<string, PeerDemand>();
+  /** What counts of the two: zones where they report, else hosts. */
+  #sources: readonly PeerDemand[] = [];
   /** Whether buckets start full, as no earlier run has spent anything. */
   #startsFull: boolean;
   /** Whether most hosts are heard. */
@@ -138,14 +161,22 @@
   }
 
   /** Takes over which other hosts there are, heard of or not. */
-  setPeers(hostIds: readonly string[]): void {
+  setPeers(others: readonly QuotaPeer[]): void {
     const peers = this.#peers;
     this.#peers = new Map(
-      hostIds.map((id) => [
+      others.map(({ id, availabilityZone }) => [
         id,
-        peers.get(id) ?? { demands: NO_DEMANDS, heardMs: -Infinity },
+        {
+          id,
+          availabilityZone,
+          demands: NO_DEMANDS,
+          heardMs: -Infinity,
+          hosts: 1,
+          ...peers.get(id),
+        },
       ]),
     );
+    this.#sources = this.#findSources(-Infinity);
   }
 
   /** Takes over what another host reports. */
@@ -154,7 +185,22 @@
     demands: ReadonlyMap<string, Demand>,
     nowMs: number,
   ): void {
-    this.#peers.set(hostId, { demands, heardMs: nowMs });
+    const peer = this.#peers.get(hostId);
+    if (peer !== undefined) Object.assign(peer, { demands, heardMs: nowMs });
+  }
+
+  /** Takes over what a zone reports for all its hosts. */
+  noteZone(
+    availabilityZone: string,
+    demands: ReadonlyMap<string, Demand>,
+    nowMs: number,
+  ): void {
+    const zone = this.#zones.get(availabilityZone);
+    if (zone !== undefined) Object.assign(zone, { demands, heardMs: nowMs });
+    else {
+      const hosts = 0;
+      this.#zones.set(availabilityZone, { demands, heardMs: nowMs, hosts });
+    }
   }
 
   /** Asks for one request of an organisation. */
@@ -162,10 +208,11 @@
     const quota = this.#byId.get(organisationId);
     if (quota === undefined) return ADMITTED;
     quota.meter.add();
-    const { bucket, window } = quota;
+    const { bucket, window, unseen } = quota;
     if (this.#isRelaxed(quota, nowMs)) {
       takeToken(bucket, nowMs);
       window.add(nowMs);
+      unseen.add(nowMs);
       return ADMITTED;
     }
     if (window.total(nowMs) + 1 > this.#windowLimit(quota)) {
@@ -179,6 +226,7 @@
       return { admitted: false, waitMs: Math.ceil(waitForTokenMs(bucket)) };
     }
     window.add(nowMs);
+    unseen.add(nowMs);
     return ADMITTED;
   }
 
@@ -186,25 +234,26 @@
   giveBack(organisationId: string, nowMs: number): void {
     const quota = this.#byId.get(organisationId);
     if (quota === undefined) return;
-    const { bucket, window } = quota;
+    const { bucket, window, unseen } = quota;
     refill(bucket, nowMs);
     bucket.tokens = Math.min(bucket.capacity, bucket.tokens + 1);
     window.takeBack(nowMs);
+    unseen.takeBack(nowMs);
   }
 
   /** Follows the demand. Called a few times a second. */
   update(nowMs: number): void {
-    const peers = [...this.#peers.values()];
-    const hosts = peers.length + 1;
+    this.#sources = this.#findSources(nowMs);
+    const hosts = this.#peers.size + 1;
     const isHeard = (withinMs: number) => ({ heardMs }: PeerDemand) =>
       nowMs - heardMs < withinMs;
-    const heard = peers.filter(isHeard(HOLD_MS)).length;
-    const counted = peers.filter(isHeard(RECLAIM_MS));
+    const heard = hostsOf(this.#sources.filter(isHeard(HOLD_MS)));
+    const counted = this.#sources.filter(isHeard(RECLAIM_MS));
     this.#holds = 2 * (heard + 1) > hosts;
     for (const [id, quota] of this.#byId) {
       quota.meter.update(nowMs);
       const othersPerS = sumOf(counted, id);
-      const prior = PRIOR_PER_S * (counted.length + 1);
+      const prior = PRIOR_PER_S * (hostsOf(counted) + 1);
       const floating = (quota.reportedPerS + PRIOR_PER_S) /
         (quota.reportedPerS + othersPerS + prior);
       quota.allPerS = quota.meter.peakPerS + othersPerS;
@@ -234,6 +283,22 @@
     return this.#byId.get(organisationId)?.share ?? 1;
   }
 
+  /** Reports that count: of zones that report as a whole, else of hosts. */
+  #findSources(nowMs: number): PeerDemand[] {
+    for (const zone of this.#zones.values()) zone.hosts = 0;
+    const sources: PeerDemand[] = [];
+    for (const peer of this.#peers.values()) {
+      const zone = this.#zones.get(peer.availabilityZone);
+      if (zone === undefined || nowMs - zone.heardMs > ZONE_SILENT_MS) {
+        sources.push(peer);
+        continue;
+      }
+      if (zone.hosts === 0) sources.push(zone);
+      zone.hosts += 1;
+    }
+    return sources;
+  }
+
   #create(organisation: Organisation, nowMs: number): Quota {
     const share = 1 / (this.#peers.size + 1);
     const size = this.#bucketOf({ organisation, share }, nowMs);
@@ -243,6 +308,7 @@
       organisation,
       bucket,
       window: new WindowCounter(this.#bounds.windowMs, nowMs),
+      unseen: new WindowCounter(UNSEEN_MS, nowMs),
       meter: new DemandMeter(nowMs),
       share,
       reportedPerS: 0,
@@ -256,17 +322,24 @@
     if (!this.#holds || nowMs < this.#strictUntilMs) return false;
     const allowed = this.#allowed(organisation);
     const { windowMs } = this.#bounds;
-    if (allPerS * windowMs / 1_000 > RELAXED_PART * allowed) return false;
+    const most = allowed *
+      (this.#zones.size > 0 ? ZONED_RELAXED_PART : RELAXED_PART);
+    if (allPerS * windowMs / 1_000 > most) return false;
     let admitted = window.total(nowMs);
     const stale = allowed / (this.#peers.size + 1);
-    for (const { demands, heardMs } of this.#peers.values()) {
+    for (const { demands, heardMs, hosts } of this.#sources) {
       const ageMs = nowMs - heardMs;
       const demand = demands.get(organisation.id) ?? NO_DEMAND;
       admitted += ageMs > STALE_MS
-        ? Math.max(stale, demand.admitted)
+        ? Math.max(stale * hosts, demand.admitted)
         : demand.admitted + demand.perS * ageMs / 1_000;
     }
-    return admitted < RELAXED_PART * allowed;
+    if (admitted >= most) return false;
+    return this.#zones.size === 0 || quota.unseen.total(nowMs) < Math.max(
+          MIN_UNSEEN,
+          UNSEEN_FACTOR * quota.reportedPerS * UNSEEN_MS / 1_000,
+          (most - admitted) / (this.#peers.size + 1),
+        );
   }
 
   /**
@@ -300,6 +373,10 @@
   }
 }
 
+function hostsOf(sources: readonly PeerDemand[]): number {
+  return sources.reduce((sum, { hosts }) => sum + hosts, 0);
+}
+
 function sumOf(peers: readonly PeerDemand[], id: string): number {
   let perS = 0;
   for (const { demands } of peers) perS += demands.get(id)?.perS ?? 0;
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -16,6 +16,9 @@
  */
 const MESH_LIMIT = 24;
 
+/** Silence after which a host of the zone takes over from its delegate. */
+const DELEGATE_SILENT_MS = 700;
+
 interface Known {
   record: HostRecord;
   heardMs: number;
@@ -111,45 +114,60 @@
       ).length;
   }
 
-  /** Hosts to which this host sends its report and what it passes on. */
-  recipients(nowMs: number): { to: HostAddress; carries: "own" | "all" }[] {
+  /** Whether hosts report inside their zone and through delegates beyond. */
+  get isZoned(): boolean {
+    return this.addresses().length >= MESH_LIMIT;
+  }
+
+  /** Hosts to which this host sends its own report. */
+  nearHosts(): HostAddress[] {
     const all = this.addresses();
-    if (all.length < MESH_LIMIT) {
-      return all.map((to) => ({ to, carries: "own" }));
-    }
+    if (all.length < MESH_LIMIT) return all;
     const { availabilityZone } = this.#self;
-    const near = all.filter((host) =>
-      host.availabilityZone === availabilityZone
-    );
-    const isDelegate =
-      this.#delegateOf(availabilityZone, nowMs) === this.#self.id;
-    if (!isDelegate) return near.map((to) => ({ to, carries: "own" }));
-    const zones = new Set(all.map((host) => host.availabilityZone));
-    zones.delete(availabilityZone);
-    const far = [...zones]
-      .map((zone) => this.#delegateOf(zone, nowMs))
-      .map((id) => all.find((host) => host.id === id))
-      .filter((host) => host !== undefined);
-    return [
-      ...near.map((to) => ({ to, carries: "all" as const })),
-      ...far.map((to) => ({ to, carries: "own" as const })),
-    ];
+    return all.filter((host) => host.availabilityZone === availabilityZone);
+  }
+
+  /** Whether this host exchanges reports with other zones for its own. */
+  isDelegate(nowMs: number): boolean {
+    if (!this.isZoned) return false;
+    const { availabilityZone, id } = this.#self;
+    return this.#heardIn(availabilityZone, nowMs).every((one) => id < one);
   }
 
-  /** The live host that exchanges reports for a zone, or a registered one. */
-  #delegateOf(zone: string, nowMs: number): string | undefined {
-    const inZone = this.live(nowMs)
-      .filter((host) => host.availabilityZone === zone)
-      .map(({ id }) => id);
-    if (zone === this.#self.availabilityZone) inZone.push(this.#self.id);
-    if (inZone.length === 0) {
-      inZone.push(
-        ...[...this.#registered.values()]
-          .filter((host) => host.availabilityZone === zone)
-          .map(({ id }) => id),
-      );
+  /**
+   * One host of each other zone, for what a delegate sends.
+   *
+   * @param turn Grows with each call; hosts of a zone of which none is known
+   * to live are tried by turns.
+   */
+  farDelegates(turn: number, nowMs: number): HostAddress[] {
+    const all = this.addresses();
+    const zones = new Map<string, HostAddress[]>();
+    for (const host of all) {
+      const { availabilityZone } = host;
+      if (availabilityZone === this.#self.availabilityZone) continue;
+      const hosts = zones.get(availabilityZone) ?? [];
+      hosts.push(host);
+      zones.set(availabilityZone, hosts);
     }
-    return inZone.sort()[0];
+    return [...zones].map(([zone, hosts]) => {
+      const [first] = this.#heardIn(zone, nowMs);
+      return hosts.find(({ id }) => id === first) ??
+        hosts[turn % hosts.length];
+    });
+  }
+
+  /** Hosts of a zone that were heard just now, in a fixed order. */
+  #heardIn(availabilityZone: string, nowMs: number): string[] {
+    const isNear = availabilityZone === this.#self.availabilityZone;
+    const silentMs = isNear ? DELEGATE_SILENT_MS : SILENT_MS;
+    return [...this.#known.values()]
+      .filter(({ record, heardMs }) =>
+        record.availabilityZone === availabilityZone &&
+        record.state !== "leaving" && nowMs - heardMs < silentMs
+      )
+      .map(({ record }) => record.id)
+      .sort();
   }
 }
 
--- /dev/null
+++ b/src/core/membership/membership_test.ts
@@ -0,0 +1,62 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Membership } from "./membership.ts";
+import type { HostRecord } from "./types.ts";
+
+function host(zone: string, n: number): HostRecord {
+  return {
+    id: `${zone}-${n}`,
+    availabilityZone: zone,
+    region: "north",
+    callerAddress: `192.0.2.${n}:80`,
+    peerAddress: `192.0.2.${n}:90`,
+    startedMs: 1,
+    sequence: 1,
+    state: "ready",
+  };
+}
+
+function createFleet(perZone: number) {
+  const hosts = ["a", "b", "c"].flatMap((zone) =>
+    Array.from({ length: perZone }, (_, n) => host(zone, n))
+  );
+  const membership = new Membership(host("a", 1));
+  membership.setRegistered(hosts);
+  return { membership, hosts };
+}
+
+// Guards against messages that grow with the square of the hosts.
+test("a large fleet reports inside zones and through delegates", () => {
+  const small = createFleet(4).membership;
+  assert.equal(small.nearHosts().length, 11);
+  assert.equal(small.isZoned, false);
+  assert.equal(small.isDelegate(0), false);
+  const { membership } = createFleet(10);
+  assert.equal(membership.isZoned, true);
+  assert.equal(membership.nearHosts().length, 9);
+  assert.equal(membership.farDelegates(0, 0).length, 2);
+});
+
+// Guards against a zone that nobody speaks for after its delegate has died.
+test("the next host of a zone takes over from a silent delegate", () => {
+  const { membership } = createFleet(10);
+  membership.note(host("a", 0), 0);
+  membership.note(host("a", 2), 0);
+  assert.equal(membership.isDelegate(500), false);
+  membership.note({ ...host("a", 2), sequence: 2 }, 600);
+  assert.equal(membership.isDelegate(800), true);
+});
+
+// Guards against two zones whose first hosts are dead and that never hear of
+// each other.
+test("hosts of a zone that was never heard are tried by turns", () => {
+  const { membership } = createFleet(10);
+  const tried = new Set<string>();
+  for (let turn = 0; turn < 10; turn++) {
+    for (const { id } of membership.farDelegates(turn, 0)) tried.add(id);
+  }
+  assert.equal(tried.size, 20);
+  membership.note(host("b", 7), 0);
+  const ids = membership.farDelegates(3, 100).map(({ id }) => id);
+  assert.ok(ids.includes("b-7"));
+});
--- a/src/core/release/version_counts.ts
+++ b/src/core/release/version_counts.ts
@@ -20,6 +20,7 @@
 export class VersionCounts {
   #own = new Map<string, { count: VersionCount & Tally }>();
   #peers = new Map<string, readonly VersionCount[]>();
+  #zones = new Map<string, Map<string, VersionCount>>();
   #snapshots: Map<string, Tally>[] = [];
   #snapshotMs = -Infinity;
 
@@ -43,6 +44,42 @@
     this.#peers.set(run, counts);
   }
 
+  /**
+   * Takes over the sums of a zone. Counts only grow, so a smaller one comes
+   * from an author that has not heard of all runs.
+   */
+  setZone(zone: string, counts: readonly VersionCount[]): void {
+    const sums = this.#zones.get(zone) ?? new Map<string, VersionCount>();
+    this.#zones.set(zone, sums);
+    for (const count of counts) {
+      const key = keyOf(count.service, count.routeId, count.version);
+      const known = sums.get(key);
+      sums.set(key, {
+        ...count,
+        answers: Math.max(count.answers, known?.answers ?? 0),
+        bad: Math.max(count.bad, known?.bad ?? 0),
+      });
+    }
+  }
+
+  /** Sums over this host and the runs that report to it directly. */
+  direct(services: ReadonlySet<string>): VersionCount[] {
+    const sums = new Map<string, VersionCount & Tally>();
+    const add = (count: VersionCount) => {
+      if (!services.has(count.service)) return;
+      const key = keyOf(count.service, count.routeId, count.version);
+      const sum = sums.get(key);
+      if (sum === undefined) sums.set(key, { ...count });
+      else {
+        sum.answers += count.answers;
+        sum.bad += count.bad;
+      }
+    };
+    for (const { count } of this.#own.values()) add(count);
+    for (const counts of this.#peers.values()) counts.forEach(add);
+    return [...sums.values()];
+  }
+
   /** Own counts of some services, for the other hosts. */
   own(services: ReadonlySet<string>): VersionCount[] {
     return [...this.#own.values()]
@@ -92,6 +129,7 @@
     };
     for (const { count } of this.#own.values()) add(count);
     for (const counts of this.#peers.values()) counts.forEach(add);
+    for (const counts of this.#zones.values()) counts.forEach(add);
     return sums;
   }
 }
--- a/src/core/store/watch_duty.ts
+++ b/src/core/store/watch_duty.ts
@@ -12,6 +12,11 @@
 const MAX_WATCHER_AGE_MS = 2_500;
 /** Time without a working watcher after which this host watches. */
 const TAKE_OVER_MS = 250;
+/**
+ * Time after a start in which no host watches yet: its lists are fresh, and
+ * it has heard of few other hosts.
+ */
+const SETTLE_MS = 1_000;
 /** Time with a working watcher after which this host stops to watch. */
 const HAND_BACK_MS = 3_000;
 
@@ -26,8 +31,13 @@
 
 /** Decides whether this host watches. */
 export class WatchDuty {
-  #watches = true;
+  #watches = false;
   #sinceMs: number | undefined;
+  readonly #startedMs: number;
+
+  constructor(nowMs: number) {
+    this.#startedMs = nowMs;
+  }
 
   /** Whether this host watches. */
   get watches(): boolean {
@@ -41,6 +51,7 @@
    * @returns Whether the answer of `watches` has changed.
    */
   tick(rank: number, peers: readonly PeerWatch[], nowMs: number): boolean {
+    if (nowMs - this.#startedMs < SETTLE_MS) return false;
     const isRelied = peers.some((peer) =>
       peer.watches && !peer.isFailing && peer.storeAgeMs < MAX_WATCHER_AGE_MS
     );
--- a/src/node/entry/control_state.ts
+++ b/src/node/entry/control_state.ts
@@ -4,7 +4,6 @@
  *
  * @module
  */
-import type { HostReport } from "../../core/membership/report.ts";
 import { KindView, type ViewNews } from "../../core/store/kind_view.ts";
 import { PeerSync } from "../../core/store/peer_sync.ts";
 import { StoreHealth } from "../../core/store/store_health.ts";
@@ -40,9 +39,13 @@
   hosts: "list",
 };
 
-/** A report of another host and when it arrived. */
-export interface HeardReport {
-  readonly report: HostReport;
+/** What another host holds and how it sees the store. */
+export interface PeerPosition {
+  readonly peerAddress: string;
+  /** Newest change that it holds of each kind. */
+  readonly revisions: ReadonlyMap<Kind, number>;
+  readonly store: StoreReport;
+  /** When it told this. */
   readonly atMs: number;
 }
 
@@ -65,7 +68,7 @@
   readonly #followers = new Map<Kind, KindFollower>();
   readonly #sync = new PeerSync();
   readonly #health = new StoreHealth();
-  readonly #duty = new WatchDuty();
+  readonly #duty: WatchDuty;
   #outlook: StoreOutlook;
   #fetching = false;
   #probedMs = -Infinity;
@@ -73,6 +76,7 @@
   constructor(options: ControlStateOptions) {
     this.#options = options;
     const { store, random, nowMs } = options;
+    this.#duty = new WatchDuty(nowMs());
     this.#outlook = combineOutlook(this.report(), [], nowMs());
     for (const kind of KINDS) {
       const view = new KindView();
@@ -138,10 +142,10 @@
    *
    * @param rank Place of this host in the order of hosts that watch.
    */
-  tick(rank: number, peers: readonly HeardReport[]): void {
+  tick(rank: number, peers: readonly PeerPosition[]): void {
     const { nowMs, log } = this.#options;
     const atMs = nowMs();
-    const watches = peers.map(({ report: { store }, atMs: heardMs }) => ({
+    const watches = peers.map(({ store, atMs: heardMs }) => ({
       watches: store.watches,
       isFailing: store.isFailing,
       storeAgeMs: store.ageMs + atMs - heardMs,
@@ -152,7 +156,7 @@
     }
     this.#outlook = combineOutlook(
       this.report(),
-      peers.map(({ report: { store }, atMs: heardMs }) => ({
+      peers.map(({ store, atMs: heardMs }) => ({
         report: store,
         atMs: heardMs,
       })),
@@ -162,12 +166,17 @@
     if (this.#duty.watches && atMs - this.#probedMs >= PROBE_MS) this.#probe();
   }
 
-  /** Takes over changes that another host passes on. */
-  takePushed({ kind, baseRevision, delta }: PushedDelta): void {
+  /**
+   * Takes over changes that another host passes on. Returns whether they are
+   * news.
+   */
+  takePushed({ kind, baseRevision, delta }: PushedDelta): boolean {
     const view = this.view(kind);
     // Without the changes before, the delta is not whole.
-    if (view.revision < 0 || view.revision < baseRevision) return;
-    this.#tell(kind, view.applyDelta(delta));
+    if (view.revision < 0 || view.revision < baseRevision) return false;
+    const news = view.applyDelta(delta);
+    this.#tell(kind, news);
+    return news.changed.length + news.removed.length > 0;
   }
 
   /** Fetches what a peer holds beyond the own views. */
@@ -217,14 +226,11 @@
     return new Map(KINDS.map((kind) => [kind, this.view(kind).revision]));
   }
 
-  #compare(peers: readonly HeardReport[]): void {
+  #compare(peers: readonly PeerPosition[]): void {
     const { nowMs } = this.#options;
     const effects = this.#sync.tick({
       own: this.#revisions(),
-      peers: peers.map(({ report }) => ({
-        peerAddress: report.record.peerAddress,
-        revisions: report.revisions,
-      })),
+      peers,
       storeFails: this.#health.isFailing,
     }, nowMs());
     for (const effect of effects) {
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -7,10 +7,6 @@
 import { chooseHosts } from "../../core/lookup/choose_hosts.ts";
 import { Quotas } from "../../core/limits/quotas.ts";
 import { Membership } from "../../core/membership/membership.ts";
-import type {
-  CrashBlameNote,
-  HostReport,
-} from "../../core/membership/report.ts";
 import type { HostState } from "../../core/membership/types.ts";
 import { Releases } from "../../core/release/releases.ts";
 import { VersionCounts } from "../../core/release/version_counts.ts";
@@ -41,7 +37,8 @@
 import { loadTracing } from "../telemetry/tracing.ts";
 import type { WireNames } from "../wire_names.ts";
 import { ControlReader } from "./control_reader.ts";
-import { ControlState, type HeardReport } from "./control_state.ts";
+import { ControlState } from "./control_state.ts";
+import { FleetView } from "./fleet_view.ts";
 import { ReleaseRunner } from "./release_runner.ts";
 import { RequestHandler } from "./request_handler.ts";
 import { createRequestParts } from "./request_parts.ts";
@@ -52,8 +49,6 @@
 const PAUSE_MS = 700;
 /** Time for which a look-up answer may be kept, if the bound allows it. */
 const LOOKUP_TTL_MS = 2_000;
-/** Time for which a blame is reported to other hosts. */
-const BLAME_REPORT_MS = 5_000;
 /** Time between two looks at the settings file, which changes silently. */
 const RELOAD_MS = 1_000;
 /** Time for requests that arrive as the process ends. */
@@ -132,9 +127,6 @@
   }, { startsFull: settings.firstStart, nowMs: nowMs() });
   const roundTrips = new RoundTrips(host);
   const stopPlan = new StopPlan(() => options.settings.current.bounds.graceMs);
-  const blocked = new Set<string>();
-  const blames: { note: CrashBlameNote; atMs: number }[] = [];
-  let sequence = 0;
 
   const pool = new ConnectionPool({
     nowMs,
@@ -178,7 +170,22 @@
       exchange.push();
     },
     onTargetLeaving: (address) => pool.closeIdle(address),
-    onHosts: followHosts,
+    onHosts: () => fleet.followHosts(),
+  });
+  const fleet = new FleetView({
+    self,
+    startedMs,
+    state: hostState,
+    membership,
+    quotas,
+    counts,
+    releases,
+    control: () => control,
+    log,
+    nowMs,
+    onSuspicion: (note) =>
+      handler.dispatch({ type: "suspicion_learned", ...note }),
+    onNews: () => exchange.push(),
   });
   const parts = createRequestParts({
     place: host,
@@ -207,7 +214,7 @@
       };
     },
     hostCount: () => membership.addresses().length + 1,
-    isBlocked: (fingerprint) => blocked.has(fingerprint),
+    isBlocked: (fingerprint) => fleet.isBlocked(fingerprint),
   });
   const handler = new RequestHandler({
     parts,
@@ -219,7 +226,7 @@
     nowMs,
     closesConnections: () => stopPlan.phase(nowMs()) !== "serving",
     publishBlame({ fingerprint, targetId = "" }) {
-      noteBlame({ fingerprint, targetId });
+      fleet.noteBlame({ fingerprint, targetId });
       exchange.push();
     },
   });
@@ -230,8 +237,10 @@
     nowMs,
     log,
     metrics,
-    report,
-    onReport,
+    report: () => fleet.report(),
+    summary: (own) => fleet.summary(own),
+    onReport: (report) => fleet.takeReport(report),
+    onZone: (summary) => fleet.takeZone(summary),
     onPushed: (pushed) => control.takePushed(pushed),
   });
   const releaseRunner = new ReleaseRunner({
@@ -293,62 +302,6 @@
     return membership.live(nowMs()).filter(({ state }) => state === "ready");
   }
 
-  function followHosts(): void {
-    quotas.setPeers(membership.addresses().map(({ id }) => id));
-  }
-
-  function report(): HostReport {
-    sequence += 1;
-    const atMs = nowMs();
-    return {
-      record: { ...self, startedMs, sequence, state: hostState() },
-      revisions: control.changedRevisions(),
-      store: control.report(),
-      demands: quotas.report(atMs),
-      counts: counts.own(releases.openServices()),
-      stopped: releases.stopped(),
-      releases: releases.progress(atMs),
-      blames: blames.filter((blame) => atMs - blame.atMs < BLAME_REPORT_MS)
-        .map(({ note }) => note),
-    };
-  }
-
-  const heard = new Map<string, HeardReport>();
-
-  function onReport(peer: HostReport): void {
-    const { id } = peer.record;
-    if (!heard.has(id)) {
-      log.event("host_met", { peer: id, state: peer.record.state });
-      followHosts();
-    }
-    heard.set(id, { report: peer, atMs: nowMs() });
-    quotas.notePeer(id, peer.demands, nowMs());
-    counts.setPeer(`${id} ${peer.record.startedMs}`, peer.counts);
-    releases.noteProgress(peer.releases, nowMs());
-    for (const stopped of peer.stopped) {
-      if (releases.stop(stopped)) {
-        log.event("version_stopped", { ...stopped, from: id });
-      }
-    }
-    for (const note of peer.blames) {
-      if (noteBlame(note) && note.targetId !== "") {
-        handler.dispatch({ type: "suspicion_learned", ...note });
-      }
-    }
-  }
-
-  /** Remembers a blame. Returns whether it is news. */
-  function noteBlame(note: CrashBlameNote): boolean {
-    const known = blames.some((blame) =>
-      blame.note.fingerprint === note.fingerprint &&
-      blame.note.targetId === note.targetId
-    );
-    if (known) return false;
-    blames.push({ note, atMs: nowMs() });
-    if (note.targetId === "") blocked.add(note.fingerprint);
-    return true;
-  }
-
   function answerLookup(caller: Place, hostName: string): LookupAnswer {
     const hosts = [
       ...(hostState() === "ready" ? [self] : []),
@@ -448,8 +401,7 @@
     pool.prune(atMs);
     control.tick(
       membership.dutyRank("watch", atMs),
-      membership.live(atMs).map(({ id }) => heard.get(id))
-        .filter((one) => one !== undefined),
+      fleet.positions(),
     );
   }, TURN_MS);
 
--- a/src/node/peer/report_codec.ts
+++ b/src/node/peer/report_codec.ts
@@ -6,6 +6,9 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import type { HostReport } from "../../core/membership/report.ts";
 import type { HostState } from "../../core/membership/types.ts";
+import type { ZoneSummary } from "../../core/membership/zone_summary.ts";
+import type { Demand } from "../../core/limits/quotas.ts";
+import type { ReleaseProgress } from "../../core/release/types.ts";
 import type { StoreReport } from "../../core/store/store_outlook.ts";
 import type { Kind, KindDelta } from "../../core/store/types.ts";
 import {
@@ -13,6 +16,7 @@
   HostReportSchema,
   PeerDatagramSchema,
   type StoreReport as StoreReportMessage,
+  ZoneSummarySchema,
 } from "../../gen/cranberryhoist/v1/peer_pb.ts";
 import { deltaFromMessage, deltaToMessage, isKind } from "./delta_codec.ts";
 
@@ -26,38 +30,114 @@
   /** Newest change that the receiver has to hold already. */
   readonly baseRevision: number;
   readonly delta: KindDelta;
+  /** Whether the receiver passes it on to its own zone. */
+  readonly forZone?: boolean;
+}
+
+/** What a zone tells, with which of two reports is newer. */
+export interface ZoneReport {
+  readonly availabilityZone: string;
+  readonly authorId: string;
+  /** Unix time of the author's start in milliseconds. */
+  readonly startedMs: number;
+  readonly sequence: number;
+  /** The encoded summary. */
+  readonly summary: Uint8Array;
 }
 
 /** What a datagram carries. */
 export interface PeerDatagram {
   readonly reports: readonly HostReport[];
   readonly pushed: readonly PushedDelta[];
+  readonly zones: readonly ZoneReport[];
 }
 
 /** Encodes a datagram. */
 export function encodeDatagram(datagram: Partial<PeerDatagram>): Uint8Array {
-  const { reports = [], pushed = [] } = datagram;
+  const { reports = [], pushed = [], zones = [] } = datagram;
   return toBinary(
     PeerDatagramSchema,
     create(PeerDatagramSchema, {
       reports: reports.map(toMessage),
-      pushed: pushed.map(({ kind, baseRevision, delta }) => ({
+      pushed: pushed.map(({ kind, baseRevision, delta, forZone = false }) => ({
         baseRevision,
         delta: deltaToMessage(kind, delta),
+        forZone,
       })),
+      zones: zones.map((zone) => ({ ...zone })),
     }),
   );
 }
 
 /** Decodes a datagram; throws when it can't be read. */
 export function decodeDatagram(bytes: Uint8Array): PeerDatagram {
-  const { reports, pushed } = fromBinary(PeerDatagramSchema, bytes);
+  const { reports, pushed, zones } = fromBinary(PeerDatagramSchema, bytes);
   return {
     reports: reports.map(fromMessage),
-    pushed: pushed.flatMap(({ baseRevision, delta }) => {
+    pushed: pushed.flatMap(({ baseRevision, delta, forZone }) => {
       const decoded = delta && deltaFromMessage(delta);
-      return decoded === undefined ? [] : [{ ...decoded, baseRevision }];
+      return decoded === undefined
+        ? []
+        : [{ ...decoded, baseRevision, forZone }];
     }),
+    zones,
+  };
+}
+
+/** Encodes what a zone tells. */
+export function encodeZoneSummary(summary: ZoneSummary): Uint8Array {
+  const { hosts } = summary;
+  return toBinary(
+    ZoneSummarySchema,
+    create(ZoneSummarySchema, {
+      region: hosts[0]?.record.region ?? "",
+      hosts: hosts.map(({ record, store }) => ({
+        hostId: record.id,
+        callerAddress: record.callerAddress,
+        peerAddress: record.peerAddress,
+        startedMs: record.startedMs,
+        sequence: record.sequence,
+        state: record.state,
+        store: store && storeToMessage(store),
+      })),
+      revisions: revisionsToMessage(summary.revisions),
+      demands: demandsToMessage(summary.demands),
+      counts: summary.counts.map((count) => ({ ...count })),
+      stopped: summary.stopped.map((stopped) => ({ ...stopped })),
+      blames: summary.blames.map((blame) => ({ ...blame })),
+      releases: releasesToMessage(summary.releases),
+    }),
+  );
+}
+
+/** Decodes what a zone tells; throws when it can't be read. */
+export function decodeZoneSummary(
+  { availabilityZone, authorId, summary }: ZoneReport,
+): ZoneSummary {
+  const message = fromBinary(ZoneSummarySchema, summary);
+  const { region } = message;
+  return {
+    availabilityZone,
+    authorId,
+    hosts: message.hosts.map((host) => ({
+      record: {
+        id: host.hostId,
+        availabilityZone,
+        region,
+        callerAddress: host.callerAddress,
+        peerAddress: host.peerAddress,
+        startedMs: host.startedMs,
+        sequence: host.sequence,
+        state: stateOf(host.state),
+      },
+      store: host.store && storeOf(host.store),
+    })),
+    revisions: revisionsOf(message.revisions),
+    demands: demandsOf(message.demands),
+    counts: message.counts,
+    stopped: message.stopped,
+    blames: message.blames,
+    releases: releasesOf(message.releases),
   };
 }
 
@@ -72,30 +152,77 @@
     startedMs: record.startedMs,
     sequence: record.sequence,
     state: record.state,
-    revisions: [...revisions].map(([kind, changedRevision]) => ({
-      kind,
-      changedRevision,
-    })),
-    demands: [...report.demands].map(([organisation, demand]) => ({
-      organisation,
-      ...demand,
-    })),
+    revisions: revisionsToMessage(revisions),
+    demands: demandsToMessage(report.demands),
     counts: report.counts.map((count) => ({ ...count })),
     stopped: report.stopped.map((stopped) => ({ ...stopped })),
     blames: report.blames.map((blame) => ({ ...blame })),
-    releases: report.releases.map(({ goodForMs = NEVER, ...release }) => ({
-      ...release,
-      goodForMs,
-    })),
-    store: {
-      watches: report.store.watches,
-      isFailing: report.store.isFailing,
-      ageMs: finiteOr(NEVER, report.store.ageMs),
-      sinceReturnMs: finiteOr(NEVER, report.store.sinceReturnMs),
-    },
+    releases: releasesToMessage(report.releases),
+    store: storeToMessage(report.store),
   });
 }
 
+function revisionsToMessage(revisions: ReadonlyMap<Kind, number>) {
+  return [...revisions].map(([kind, changedRevision]) => ({
+    kind,
+    changedRevision,
+  }));
+}
+
+function revisionsOf(
+  revisions: readonly { kind: string; changedRevision: number }[],
+): Map<Kind, number> {
+  return new Map(
+    revisions.filter(({ kind }) => isKind(kind))
+      .map(({ kind, changedRevision }) => [kind as Kind, changedRevision]),
+  );
+}
+
+function demandsToMessage(demands: ReadonlyMap<string, Demand>) {
+  return [...demands].map(([organisation, demand]) => ({
+    organisation,
+    ...demand,
+  }));
+}
+
+function demandsOf(
+  demands: readonly ({ organisation: string } & Demand)[],
+): Map<string, Demand> {
+  return new Map(
+    demands.map(({ organisation, perS, admitted }) => [
+      organisation,
+      { perS, admitted },
+    ]),
+  );
+}
+
+function releasesToMessage(releases: readonly ReleaseProgress[]) {
+  return releases.map(({ goodForMs = NEVER, ...release }) => ({
+    ...release,
+    goodForMs,
+  }));
+}
+
+function releasesOf(
+  releases: readonly (ReleaseProgress & { goodForMs: number })[],
+): ReleaseProgress[] {
+  return releases.map(({ goodForMs, service, version, seenForMs }) => ({
+    service,
+    version,
+    seenForMs,
+    goodForMs: goodForMs === NEVER ? undefined : goodForMs,
+  }));
+}
+
+function storeToMessage(store: StoreReport) {
+  return {
+    watches: store.watches,
+    isFailing: store.isFailing,
+    ageMs: finiteOr(NEVER, store.ageMs),
+    sinceReturnMs: finiteOr(NEVER, store.sinceReturnMs),
+  };
+}
+
 function fromMessage(message: HostReportMessage): HostReport {
   return {
     record: {
@@ -108,23 +235,12 @@
       sequence: message.sequence,
       state: stateOf(message.state),
     },
-    revisions: new Map(
-      message.revisions.filter(({ kind }) => isKind(kind))
-        .map(({ kind, changedRevision }) => [kind as Kind, changedRevision]),
-    ),
-    demands: new Map(
-      message.demands.map(({ organisation, perS, admitted }) => [
-        organisation,
-        { perS, admitted },
-      ]),
-    ),
+    revisions: revisionsOf(message.revisions),
+    demands: demandsOf(message.demands),
     counts: message.counts,
     stopped: message.stopped,
     blames: message.blames,
-    releases: message.releases.map(({ goodForMs, ...release }) => ({
-      ...release,
-      goodForMs: goodForMs === NEVER ? undefined : goodForMs,
-    })),
+    releases: releasesOf(message.releases),
     store: storeOf(message.store),
   };
 }
--- a/src/node/peer/report_exchange.ts
+++ b/src/node/peer/report_exchange.ts
@@ -6,15 +6,20 @@
 import { createSocket, type Socket } from "node:dgram";
 import type { Membership } from "../../core/membership/membership.ts";
 import type { HostReport } from "../../core/membership/report.ts";
+import type { HostAddress } from "../../core/membership/types.ts";
+import type { ZoneSummary } from "../../core/membership/zone_summary.ts";
 import { parseAddress } from "../address.ts";
 import { ExitError } from "../exit_status.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { Metrics } from "../telemetry/metrics.ts";
 import {
   decodeDatagram,
+  decodeZoneSummary,
   encodeDatagram,
+  encodeZoneSummary,
   type PeerDatagram,
   type PushedDelta,
+  type ZoneReport,
 } from "./report_codec.ts";
 
 /** Time between two reports. */
@@ -23,8 +28,9 @@
 const NEWS_SPACING_MS = 30;
 /** Largest datagram; others fetch what does not fit. */
 const MAX_DATAGRAM_BYTES = 16_384;
-/** Reports of other hosts that fit into one datagram with certainty. */
-const REPORTS_PER_DATAGRAM = 24;
+/** Time between two reports of a zone, and between two with news. */
+const ZONE_REPORT_MS = 450;
+const ZONE_NEWS_SPACING_MS = 100;
 
 /** What an exchange is built from. */
 export interface ReportExchangeOptions {
@@ -37,19 +43,30 @@
   readonly metrics: Metrics;
   /** This host's report. */
   readonly report: () => HostReport;
-  /** A newer report of another host has arrived. */
+  /** What this host's zone tells the other zones. */
+  readonly summary: (own: HostReport) => ZoneSummary;
+  /** A report of another host has arrived. */
   readonly onReport: (report: HostReport) => void;
-  /** Another host passes changes of the store on. */
-  readonly onPushed: (pushed: PushedDelta) => void;
+  /** A newer report of another zone has arrived. */
+  readonly onZone: (summary: ZoneSummary) => void;
+  /**
+   * Another host passes changes of the store on. Returns whether they are
+   * news.
+   */
+  readonly onPushed: (pushed: PushedDelta) => boolean;
 }
 
 /** Sends this host's reports and takes those of others. */
 export class ReportExchange {
   readonly #options: ReportExchangeOptions;
   readonly #socket: Socket;
-  readonly #reports = new Map<string, HostReport>();
+  /** Newest report of each author of another zone. */
+  readonly #zones = new Map<string, ZoneReport>();
   #timer: NodeJS.Timeout | undefined;
   #sentMs = -Infinity;
+  #zoneSentMs = -Infinity;
+  #zoneSequence = 0;
+  #hasNews = false;
   #closed = false;
 
   constructor(options: ReportExchangeOptions) {
@@ -87,16 +104,25 @@
   /** Reports soon, as something changed that others should know. */
   push(): void {
     const { nowMs } = this.#options;
+    this.#hasNews = true;
     if (nowMs() - this.#sentMs >= NEWS_SPACING_MS) this.#schedule(0);
   }
 
-  /** Passes changes of the store on to all hosts, if a datagram holds them. */
+  /**
+   * Passes changes of the store on to all hosts, to those of other zones
+   * through one of each, if a datagram holds them.
+   */
   pass(pushed: PushedDelta): void {
+    const { membership, nowMs } = this.#options;
+    this.#passTo(membership.nearHosts(), pushed);
+    if (!membership.isZoned) return;
+    const far = membership.farDelegates(this.#zoneSequence, nowMs());
+    this.#passTo(far, { ...pushed, forZone: true });
+  }
+
+  #passTo(hosts: readonly HostAddress[], pushed: PushedDelta): void {
     const bytes = encodeDatagram({ pushed: [pushed] });
-    if (bytes.length > MAX_DATAGRAM_BYTES) return;
-    for (const { peerAddress } of this.#options.membership.addresses()) {
-      this.#sendBytes(peerAddress, bytes);
-    }
+    if (bytes.length <= MAX_DATAGRAM_BYTES) this.#sendAll(hosts, bytes);
   }
 
   /** Stops to report. */
@@ -124,32 +150,40 @@
 
   #send(): void {
     const { membership, nowMs, report, seeds } = this.#options;
-    this.#sentMs = nowMs();
+    const atMs = nowMs();
+    this.#sentMs = atMs;
     const own = report();
-    const recipients = membership.recipients(nowMs());
-    const ownBytes = encodeDatagram({ reports: [own] });
-    for (const { to, carries } of recipients) {
-      if (carries === "own") this.#sendBytes(to.peerAddress, ownBytes);
+    const bytes = encodeDatagram({ reports: [own] });
+    const near = membership.nearHosts();
+    this.#sendAll(near, bytes);
+    if (near.length === 0) {
+      for (const seed of seeds) this.#sendBytes(seed, bytes);
     }
-    if (recipients.length === 0) {
-      for (const seed of seeds) this.#sendBytes(seed, ownBytes);
-    }
-    const relays = recipients.filter(({ carries }) => carries === "all");
-    if (relays.length > 0) this.#relay(own, relays.map(({ to }) => to));
+    if (membership.isDelegate(atMs)) this.#sendZone(own, atMs);
+    this.#hasNews = false;
   }
 
-  /** Passes on what other hosts of other zones have reported. */
-  #relay(own: HostReport, to: readonly { peerAddress: string }[]): void {
-    const { membership, nowMs } = this.#options;
-    const live = membership.live(nowMs())
-      .map(({ id }) => this.#reports.get(id))
-      .filter((report) => report !== undefined);
-    const all = [own, ...live];
-    for (let i = 0; i < all.length; i += REPORTS_PER_DATAGRAM) {
-      const reports = all.slice(i, i + REPORTS_PER_DATAGRAM);
-      const bytes = encodeDatagram({ reports });
-      for (const { peerAddress } of to) this.#sendBytes(peerAddress, bytes);
-    }
+  /** Tells the other zones about this one. */
+  #sendZone(own: HostReport, atMs: number): void {
+    const { membership, summary } = this.#options;
+    const spacingMs = this.#hasNews ? ZONE_NEWS_SPACING_MS : ZONE_REPORT_MS;
+    if (atMs - this.#zoneSentMs < spacingMs) return;
+    this.#zoneSentMs = atMs;
+    this.#zoneSequence += 1;
+    const { record: { availabilityZone, id, startedMs } } = own;
+    const zone: ZoneReport = {
+      availabilityZone,
+      authorId: id,
+      startedMs,
+      sequence: this.#zoneSequence,
+      summary: encodeZoneSummary(summary(own)),
+    };
+    const far = membership.farDelegates(this.#zoneSequence, atMs);
+    this.#sendAll(far, encodeDatagram({ zones: [zone] }));
+  }
+
+  #sendAll(hosts: readonly HostAddress[], bytes: Uint8Array): void {
+    for (const { peerAddress } of hosts) this.#sendBytes(peerAddress, bytes);
   }
 
   #sendBytes(address: string, bytes: Uint8Array): void {
@@ -160,21 +194,37 @@
   }
 
   #receive(bytes: Buffer): void {
-    const { membership, nowMs, onReport, onPushed, metrics, log } =
-      this.#options;
+    const { onReport, metrics, log } = this.#options;
     metrics.peerMessages.inc({ direction: "received" });
-    let datagram: PeerDatagram;
     try {
-      datagram = decodeDatagram(bytes);
+      const datagram: PeerDatagram = decodeDatagram(bytes);
+      for (const pushed of datagram.pushed) this.#receivePushed(pushed);
+      for (const zone of datagram.zones) this.#receiveZone(zone);
+      for (const report of datagram.reports) onReport(report);
     } catch (error) {
       log.warn("datagram_unreadable", { reason: (error as Error).message });
-      return;
-    }
-    for (const pushed of datagram.pushed) onPushed(pushed);
-    for (const report of datagram.reports) {
-      if (!membership.note(report.record, nowMs())) continue;
-      this.#reports.set(report.record.id, report);
-      onReport(report);
     }
   }
+
+  #receivePushed(pushed: PushedDelta): void {
+    const { onPushed, membership } = this.#options;
+    if (!onPushed(pushed) || pushed.forZone !== true) return;
+    this.#passTo(membership.nearHosts(), { ...pushed, forZone: false });
+  }
+
+  /** Takes a report of another zone over and passes it on to the own zone. */
+  #receiveZone(zone: ZoneReport): void {
+    const { onZone, membership, nowMs } = this.#options;
+    const known = this.#zones.get(zone.authorId);
+    if (known !== undefined && !isNewer(zone, known)) return;
+    this.#zones.set(zone.authorId, zone);
+    onZone(decodeZoneSummary(zone));
+    if (!membership.isDelegate(nowMs())) return;
+    this.#sendAll(membership.nearHosts(), encodeDatagram({ zones: [zone] }));
+  }
+}
+
+function isNewer(a: ZoneReport, b: ZoneReport): boolean {
+  return a.startedMs > b.startedMs ||
+    (a.startedMs === b.startedMs && a.sequence > b.sequence);
 }
--- a/src/node/store/kind_follower.ts
+++ b/src/node/store/kind_follower.ts
@@ -133,7 +133,8 @@
   async #call(signal: AbortSignal): Promise<ViewNews> {
     const { kind, view, store } = this.#options;
     if (this.#mustList || this.#mode === "list") {
-      const stale = !this.#mustList;
+      // Hosts are heard by themselves soon, so their list may be old.
+      const stale = this.#mode === "list";
       const { objects, revision } = await store.list(kind, { stale });
       this.#mustList = false;
       return view.applyList(objects, revision);
--- a/src/testing/processes.ts
+++ b/src/testing/processes.ts
@@ -97,24 +97,33 @@
   };
 }
 
+/**
+ * Ports below those that the system gives to outgoing connections. One of
+ * those could be taken between the look here and the start of a program.
+ */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 32_000;
+
 /** Returns free ports on the loopback address. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports = await Promise.all(
-    servers.map((server) =>
-      new Promise<number>((resolve) =>
-        server.listen(0, "127.0.0.1", () => {
-          resolve((server.address() as { port: number }).port);
-        })
-      )
-    ),
-  );
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
+  const ports: number[] = [];
+  let port = FIRST_PORT +
+    Math.floor(Math.random() * (LAST_PORT - FIRST_PORT - 2 * count));
+  while (ports.length < count) {
+    if (await isFree(port)) ports.push(port);
+    port += 1;
+  }
   return ports;
 }
 
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+  });
+}
+
 /** A folder for settings files that is removed at the end. */
 export interface SettingsFolder {
   readonly path: string;
