--- a/src/core/balance/admission.ts
+++ b/src/core/balance/admission.ts
@@ -51,7 +51,9 @@
     objectiveMs * LATE_WAIT_PART,
   );
   const isTooLong = waitMs > allowedMs;
-  if (!isTooLong && expectedMs <= remainingMs) return undefined;
+  // The time of a route without an objective is a guess.
+  const isKnown = objectiveMs !== Infinity;
+  if (!isTooLong && !(isKnown && expectedMs > remainingMs)) return undefined;
   return {
     why: `the best target has a wait of ${Math.round(waitMs)} ms and needs ` +
       `${Math.round(expectedMs)} ms, ${Math.round(remainingMs)} ms are left`,
