--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -330,6 +330,10 @@
     metrics.liveHosts.set(membership.live(nowMs()).length);
     metrics.inProgress.set(handler.inProgress);
     metrics.storeAge.set(control.outlook.ageMs / 1_000);
+    metrics.targets.reset();
+    for (const { target } of targets.all()) {
+      metrics.targets.inc({ service: target.service });
+    }
     metrics.registry.metrics().then((text) => {
       res.writeHead(200, { "content-type": metrics.registry.contentType });
       res.end(text);
