--- a/src/core/balance/usable_targets.ts
+++ b/src/core/balance/usable_targets.ts
@@ -59,7 +59,6 @@
 ): boolean {
   // Without a stated rate a cold target is only slower.
   if (coldRatePerS === 0) return true;
-  const { id } = state.target;
-  const ratePerS = ownColdRatePerS(id, coldRatePerS, coldSenders());
+  const ratePerS = ownColdRatePerS(state.hash, coldRatePerS, coldSenders());
   return ratePerS > 0 && state.coldLimit.hasToken(ratePerS, nowMs);
 }
--- a/src/core/targets/cold_limit.ts
+++ b/src/core/targets/cold_limit.ts
@@ -22,35 +22,42 @@
 
 /** What decides which hosts may send to a cold target. */
 export interface ColdSenders {
-  readonly selfId: string;
-  /** Identifiers of all hosts that take requests, this one included. */
-  readonly hostIds: readonly string[];
+  readonly selfHash: number;
+  /** Hashes of the other hosts that take requests. */
+  readonly otherHashes: readonly number[];
+}
+
+/** Prepares the hosts for many targets, as this is asked for each request. */
+export function coldSendersOf(
+  selfId: string,
+  otherIds: readonly string[],
+): ColdSenders {
+  return { selfHash: hash32(selfId), otherHashes: otherIds.map(hash32) };
 }
 
 /**
  * Returns the rate at which this host may send to a cold target, in requests
  * a second; 0 when other hosts do.
  *
+ * @param targetHash Hash of the target's identifier.
  * @param ratePerS Rate that the target tolerates from all hosts.
  */
 export function ownColdRatePerS(
-  targetId: string,
+  targetHash: number,
   ratePerS: number,
-  { selfId, hostIds }: ColdSenders,
+  { selfHash, otherHashes }: ColdSenders,
 ): number {
   const usedPerS = ratePerS * USED_PART;
   const senders = Math.max(1, Math.floor(usedPerS / (1 + CAPACITY)));
-  if (hostIds.length <= senders) {
-    return usedPerS / Math.max(1, hostIds.length);
-  }
-  const targetHash = hash32(targetId);
-  const own = mix32(targetHash, hash32(selfId));
+  const hosts = otherHashes.length + 1;
+  if (hosts <= senders) return usedPerS / hosts;
+  const own = mix32(targetHash, selfHash);
   let before = 0;
-  for (const hostId of hostIds) {
-    if (hostId === selfId) continue;
-    if (mix32(targetHash, hash32(hostId)) > own) before += 1;
+  for (const other of otherHashes) {
+    if (mix32(targetHash, other) > own) before += 1;
+    if (before >= senders) return 0;
   }
-  return before < senders ? usedPerS / senders : 0;
+  return usedPerS / senders;
 }
 
 /** Own part of the rate of one cold target. */
--- a/src/core/targets/cold_limit_test.ts
+++ b/src/core/targets/cold_limit_test.ts
@@ -1,12 +1,17 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ColdLimit, ownColdRatePerS } from "./cold_limit.ts";
+import { hash32 } from "../hash32.ts";
+import { ColdLimit, coldSendersOf, ownColdRatePerS } from "./cold_limit.ts";
 
 /** Largest number of sends within one second over all hosts. */
 function busiestSecond(hostCount: number, ratePerS: number): number {
   const hostIds = Array.from({ length: hostCount }, (_, i) => `host-${i}`);
   const hosts = hostIds.map((selfId) => ({
-    ratePerS: ownColdRatePerS("cold-1", ratePerS, { selfId, hostIds }),
+    ratePerS: ownColdRatePerS(
+      hash32("cold-1"),
+      ratePerS,
+      coldSendersOf(selfId, hostIds.filter((id) => id !== selfId)),
+    ),
     limit: new ColdLimit(0),
   }));
   const sendsMs: number[] = [];
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -7,12 +7,16 @@
 import { chooseHosts } from "../../core/lookup/choose_hosts.ts";
 import { Quotas } from "../../core/limits/quotas.ts";
 import { Membership } from "../../core/membership/membership.ts";
-import type { HostState } from "../../core/membership/types.ts";
+import type { HostRecord, HostState } from "../../core/membership/types.ts";
 import { Releases } from "../../core/release/releases.ts";
 import { VersionCounts } from "../../core/release/version_counts.ts";
 import type { Obstacle } from "../../core/request/types.ts";
 import type { EntrySettings } from "../../core/settings/entry_settings.ts";
 import { StopPlan } from "../../core/stop/stop_plan.ts";
+import {
+  type ColdSenders,
+  coldSendersOf,
+} from "../../core/targets/cold_limit.ts";
 import { type Distance, RoundTrips } from "../../core/targets/round_trips.ts";
 import { TargetTable } from "../../core/targets/target_table.ts";
 import type { Place } from "../../core/types.ts";
@@ -196,10 +200,7 @@
     random,
     refusesAll,
     evacuatedZones: () => reader.evacuatedZones,
-    coldSenders: () => ({
-      selfId: host.id,
-      hostIds: [host.id, ...readyPeers().map(({ id }) => id)],
-    }),
+    coldSenders,
     distance: () => ({
       ...options.settings.current.distance,
       regionRoundTripMs: roundTrips.regionMs,
@@ -302,6 +303,18 @@
     return membership.live(nowMs()).filter(({ state }) => state === "ready");
   }
 
+  let coldHosts: readonly HostRecord[] = [];
+  let senders = coldSendersOf(host.id, []);
+
+  function coldSenders(): ColdSenders {
+    const live = membership.live(nowMs());
+    if (live !== coldHosts) {
+      coldHosts = live;
+      senders = coldSendersOf(host.id, readyPeers().map(({ id }) => id));
+    }
+    return senders;
+  }
+
   function answerLookup(caller: Place, hostName: string): LookupAnswer {
     const hosts = [
       ...(hostState() === "ready" ? [self] : []),
