Split the entry host, and forget hosts that are gone

Answers about the host itself and its registration are files of their own. A registration of a host that is silent for 10 minutes is removed by the host with the lowest rank; a host whose registration is missing registers again. Machines that were replaced without a word had left theirs for ever. Test: forgotten_hosts_test.

--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -3,8 +3,6 @@
  *
  * @module
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
-import { chooseHosts } from "../../core/lookup/choose_hosts.ts";
 import { Quotas } from "../../core/limits/quotas.ts";
 import { Membership } from "../../core/membership/membership.ts";
 import type { HostRecord, HostState } from "../../core/membership/types.ts";
@@ -33,7 +31,7 @@
 import { createPeerServer } from "../peer/peer_service.ts";
 import { ReportExchange } from "../peer/report_exchange.ts";
 import type { ControlCodec } from "../store/control_codec.ts";
-import { type ObjectStore, StoreError } from "../store/object_store.ts";
+import type { ObjectStore } from "../store/object_store.ts";
 import type { SettingsSource } from "../settings_source.ts";
 import { ConnectionPool } from "../target/connection_pool.ts";
 import { createLog } from "../telemetry/log.ts";
@@ -43,6 +41,8 @@
 import { ControlReader } from "./control_reader.ts";
 import { ControlState } from "./control_state.ts";
 import { FleetView } from "./fleet_view.ts";
+import { type LookupAnswer, OwnAnswers } from "./own_answers.ts";
+import { Registration } from "./registration.ts";
 import { ReleaseRunner } from "./release_runner.ts";
 import { RequestHandler } from "./request_handler.ts";
 import { createRequestParts } from "./request_parts.ts";
@@ -51,14 +51,10 @@
 const TURN_MS = 100;
 /** A longer gap between two turns means that the process did not run. */
 const PAUSE_MS = 700;
-/** Time for which a look-up answer may be kept, if the bound allows it. */
-const LOOKUP_TTL_MS = 2_000;
 /** Time between two looks at the settings file, which changes silently. */
 const RELOAD_MS = 1_000;
 /** Time for requests that arrive as the process ends. */
 const LAST_REQUESTS_MS = 100;
-/** Time between two attempts to register this host. */
-const REGISTER_RETRY_MS = 700;
 /** Time after which peers are asked when the store does not answer. */
 const ASK_SEEDS_MS = 400;
 
@@ -79,12 +75,6 @@
   readonly readyPath: string;
 }
 
-/** Hosts that a caller should use. */
-export interface LookupAnswer {
-  readonly addresses: readonly string[];
-  readonly ttlMs: number;
-}
-
 /** A running entry host. */
 export interface EntryHost {
   /** Reads the settings again. */
@@ -257,16 +247,40 @@
   const callerServer = createCallerServer((req, res) =>
     handler.handle(req, res)
   );
+  const answers = new OwnAnswers({
+    self,
+    state: hostState,
+    settings: () => options.settings.current,
+    membership,
+    targets,
+    releases,
+    reader,
+    control,
+    metrics,
+    inProgress: () => handler.inProgress,
+    nowMs,
+  });
   const lookupServer = createEndpointServer(
-    options.lookupEndpoints(answerLookup),
+    options.lookupEndpoints((caller, name) => answers.lookup(caller, name)),
   );
   const ownServer = createEndpointServer({
-    [options.readyPath]: (_req, res) => answerReady(res),
-    "/metrics": answerMetrics,
+    [options.readyPath]: (_req, res) => answers.ready(res),
+    "/metrics": (req, res) => answers.metrics(req, res),
   });
   const peerServer = createPeerServer({
     deltaSince: (kind, revision) => control.deltaSince(kind, revision),
-    describe,
+    describe: () => answers.describe(),
+  });
+  const registration = new Registration({
+    self,
+    store,
+    codec,
+    control,
+    membership,
+    log,
+    random,
+    nowMs,
+    isStopping: () => stopPlan.phase(nowMs()) !== "serving",
   });
 
   /**
@@ -299,10 +313,6 @@
       : undefined;
   }
 
-  function readyPeers() {
-    return membership.live(nowMs()).filter(({ state }) => state === "ready");
-  }
-
   let coldHosts: readonly HostRecord[] = [];
   let senders = coldSendersOf(host.id, []);
 
@@ -310,78 +320,12 @@
     const live = membership.live(nowMs());
     if (live !== coldHosts) {
       coldHosts = live;
-      senders = coldSendersOf(host.id, readyPeers().map(({ id }) => id));
+      const ready = live.filter(({ state }) => state === "ready");
+      senders = coldSendersOf(host.id, ready.map(({ id }) => id));
     }
     return senders;
   }
 
-  function answerLookup(caller: Place, hostName: string): LookupAnswer {
-    const hosts = [
-      ...(hostState() === "ready" ? [self] : []),
-      ...readyPeers(),
-    ];
-    const preferredRegions = reader.document?.routes
-      .filter((route) => route.host === hostName)
-      .flatMap(({ homeRegions }) => homeRegions) ?? [];
-    const chosen = chooseHosts(hosts, caller, { preferredRegions });
-    const { maxLookupTtlMs } = options.settings.current.bounds;
-    metrics.lookups.inc({ answer: chosen.length > 0 ? "hosts" : "none" });
-    return {
-      addresses: chosen.map(({ callerAddress }) => callerAddress),
-      ttlMs: Math.min(LOOKUP_TTL_MS, maxLookupTtlMs),
-    };
-  }
-
-  function answerReady(res: ServerResponse): void {
-    res.writeHead(hostState() === "ready" ? 200 : 503, {
-      "content-length": "0",
-    });
-    res.end();
-  }
-
-  function answerMetrics(_req: IncomingMessage, res: ServerResponse): void {
-    metrics.liveHosts.set(membership.live(nowMs()).length);
-    metrics.inProgress.set(handler.inProgress);
-    metrics.storeAge.set(control.outlook.ageMs / 1_000);
-    metrics.targets.reset();
-    for (const { target } of targets.all()) {
-      metrics.targets.inc({ service: target.service });
-    }
-    metrics.registry.metrics().then((text) => {
-      res.writeHead(200, { "content-type": metrics.registry.contentType });
-      res.end(text);
-    }, () => res.destroy());
-  }
-
-  function describe(): unknown {
-    const atMs = nowMs();
-    return {
-      host: self,
-      state: hostState(),
-      documentVersion: reader.document?.version,
-      storeAgeMs: Math.round(control.outlook.ageMs),
-      liveHosts: membership.live(atMs).map(({ id, state }) => ({ id, state })),
-      evacuatedZones: [...reader.evacuatedZones],
-      stoppedVersions: releases.stopped(),
-      requestsInProgress: handler.inProgress,
-    };
-  }
-
-  async function register(): Promise<void> {
-    for (;;) {
-      try {
-        await store.put("hosts", host.id, codec.encodeHost(self));
-        control.noteAnswer();
-        return log.event("registered");
-      } catch (error) {
-        if (!(error instanceof StoreError)) throw error;
-        control.noteFailure(error.message);
-        if (stopPlan.phase(nowMs()) !== "serving") return;
-        await sleep(REGISTER_RETRY_MS * (0.5 + random()));
-      }
-    }
-  }
-
   /** Asks seeds for the document while the store does not answer. */
   async function askSeeds(): Promise<void> {
     while (reader.document === undefined) {
@@ -415,6 +359,7 @@
     quotas.update(atMs);
     reader.tick();
     releaseRunner.tick();
+    registration.tick();
     pool.prune(atMs);
     control.tick(
       membership.dutyRank("watch", atMs),
@@ -430,7 +375,7 @@
     exchange.start(),
   ]);
   const stopFollowing = control.start();
-  register();
+  registration.register();
   askSeeds();
   log.event("listening", { callers: addresses.callers });
 
@@ -440,9 +385,7 @@
     stopPlan.begin(nowMs());
     log.event("stopping", { inProgress: handler.inProgress });
     exchange.push();
-    store.remove("hosts", host.id).catch((error: Error) =>
-      log.event("not_deregistered", { reason: error.message })
-    );
+    registration.deregister();
     while (!stopPlan.mayExit(handler.inProgress, nowMs())) await sleep(50);
     clearInterval(turns);
     clearInterval(reloads);
