--- a/src/core/targets/registry.ts
+++ b/src/core/targets/registry.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import type { Registration } from "./types.ts";
+import type { Target } from "./types.ts";
 
 /** Time after the store's return in which live targets register again. */
 const REGISTER_AGAIN_MS = 2_200;
@@ -52,7 +52,7 @@
 
 /** Versions of a service's targets with the earliest start of each. */
 export function versionsOf(
-  targets: Iterable<Registration>,
+  targets: Iterable<Target>,
 ): Map<string, Map<string, number>> {
   const byService = new Map<string, Map<string, number>>();
   for (const { service, version, startedMs } of targets) {
--- a/src/node/entry/control_reader.ts
+++ b/src/node/entry/control_reader.ts
@@ -11,7 +11,6 @@
 import type { Kind } from "../../core/store/types.ts";
 import { LapseFilter, versionsOf } from "../../core/targets/registry.ts";
 import type { TargetTable } from "../../core/targets/target_table.ts";
-import type { Registration } from "../../core/targets/types.ts";
 import type { ControlCodec } from "../store/control_codec.ts";
 import type { Log } from "../telemetry/log.ts";
 
@@ -160,13 +159,9 @@
   }
 
   #noteVersions(): void {
-    const { view, codec, releases } = this.#options;
-    const registrations: Registration[] = [];
-    for (const object of view("targets").objects()) {
-      const registration = codec.decodeTarget(object);
-      if (registration !== undefined) registrations.push(registration);
-    }
-    for (const [service, versions] of versionsOf(registrations)) {
+    const { targets, releases } = this.#options;
+    const known = [...targets.all()].map(({ target }) => target);
+    for (const [service, versions] of versionsOf(known)) {
       releases.noteVersions(service, versions);
     }
   }
