--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -15,7 +15,7 @@
   type ColdSenders,
   coldSendersOf,
 } from "../../core/targets/cold_limit.ts";
-import { type Distance, RoundTrips } from "../../core/targets/round_trips.ts";
+import { RoundTrips } from "../../core/targets/round_trips.ts";
 import { TargetTable } from "../../core/targets/target_table.ts";
 import type { Place } from "../../core/types.ts";
 import { listen } from "../address.ts";
@@ -40,6 +40,7 @@
 import type { WireNames } from "../wire_names.ts";
 import { ControlReader } from "./control_reader.ts";
 import { ControlState } from "./control_state.ts";
+import { measureDistances } from "./distance_probes.ts";
 import { FleetView } from "./fleet_view.ts";
 import { type LookupAnswer, OwnAnswers } from "./own_answers.ts";
 import { Registration } from "./registration.ts";
@@ -140,7 +141,8 @@
     log,
     onNews(kind, news) {
       reader.apply(kind, news);
-      if (kind === "targets") measureDistances();
+      if (kind !== "targets") return;
+      measureDistances({ targets, roundTrips, pool, nowMs });
     },
     pass: (pushed) => {
       exchange.pass(pushed);
@@ -285,24 +287,6 @@
     isStopping: () => stopPlan.phase(nowMs()) !== "serving",
   });
 
-  /**
-   * Opens one connection over each distance that is not known yet, so that
-   * objects are held at the right places from the first request on.
-   */
-  function measureDistances(): void {
-    const opened = new Set<Distance>();
-    for (const { target } of targets.all()) {
-      const distance = roundTrips.distanceTo(target);
-      if (roundTrips.isKnown(distance) || opened.has(distance)) continue;
-      opened.add(distance);
-      pool.open(target.address, (result) => {
-        if (result instanceof Error) return;
-        const idle = { keepAliveMs: -1, nowMs: nowMs() };
-        pool.giveBack(target.address, result, idle);
-      });
-    }
-  }
-
   function hostState(): HostState {
     if (stopPlan.phase(nowMs()) !== "serving") return "leaving";
     return reader.document === undefined ? "starting" : "ready";
--- a/src/node/peer/report_codec.ts
+++ b/src/node/peer/report_codec.ts
@@ -12,6 +12,7 @@
 import type { StoreReport } from "../../core/store/store_outlook.ts";
 import type { Kind, KindDelta } from "../../core/store/types.ts";
 import {
+  type Demands,
   type HostReport as HostReportMessage,
   HostReportSchema,
   PeerDatagramSchema,
@@ -179,19 +180,20 @@
 }
 
 function demandsToMessage(demands: ReadonlyMap<string, Demand>) {
-  return [...demands].map(([organisation, demand]) => ({
-    organisation,
-    ...demand,
-  }));
+  const values = [...demands.values()];
+  return {
+    organisations: [...demands.keys()],
+    perS: values.map(({ perS }) => perS),
+    admitted: values.map(({ admitted }) => admitted),
+  };
 }
 
-function demandsOf(
-  demands: readonly ({ organisation: string } & Demand)[],
-): Map<string, Demand> {
+function demandsOf(message: Demands | undefined): Map<string, Demand> {
+  const { organisations = [], perS = [], admitted = [] } = message ?? {};
   return new Map(
-    demands.map(({ organisation, perS, admitted }) => [
+    organisations.map((organisation, i) => [
       organisation,
-      { perS, admitted },
+      { perS: perS[i] ?? 0, admitted: admitted[i] ?? 0 },
     ]),
   );
 }
--- a/src/node/peer/report_exchange.ts
+++ b/src/node/peer/report_exchange.ts
@@ -17,7 +17,6 @@
   decodeZoneSummary,
   encodeDatagram,
   encodeZoneSummary,
-  type PeerDatagram,
   type PushedDelta,
   type ZoneReport,
 } from "./report_codec.ts";
@@ -194,15 +193,22 @@
   }
 
   #receive(bytes: Buffer): void {
-    const { onReport, metrics, log } = this.#options;
+    const { onReport, metrics } = this.#options;
     metrics.peerMessages.inc({ direction: "received" });
+    const datagram = this.#decode(() => decodeDatagram(bytes));
+    if (datagram === undefined) return;
+    for (const pushed of datagram.pushed) this.#receivePushed(pushed);
+    for (const zone of datagram.zones) this.#receiveZone(zone);
+    for (const report of datagram.reports) onReport(report);
+  }
+
+  #decode<T>(decode: () => T): T | undefined {
     try {
-      const datagram: PeerDatagram = decodeDatagram(bytes);
-      for (const pushed of datagram.pushed) this.#receivePushed(pushed);
-      for (const zone of datagram.zones) this.#receiveZone(zone);
-      for (const report of datagram.reports) onReport(report);
+      return decode();
     } catch (error) {
-      log.warn("datagram_unreadable", { reason: (error as Error).message });
+      const reason = (error as Error).message;
+      this.#options.log.warn("datagram_unreadable", { reason });
+      return undefined;
     }
   }
 
@@ -217,8 +223,10 @@
     const { onZone, membership, nowMs } = this.#options;
     const known = this.#zones.get(zone.authorId);
     if (known !== undefined && !isNewer(zone, known)) return;
+    const summary = this.#decode(() => decodeZoneSummary(zone));
+    if (summary === undefined) return;
     this.#zones.set(zone.authorId, zone);
-    onZone(decodeZoneSummary(zone));
+    onZone(summary);
     if (!membership.isDelegate(nowMs())) return;
     this.#sendAll(membership.nearHosts(), encodeDatagram({ zones: [zone] }));
   }
