Log and count the request limits that targets state

The limit of a response is now decoded in the adapter's header table, kept with the target, logged when it changes (target_limit) and counted (cranberryhoist_limited_targets). No decision uses it yet.

--- a/src/core/targets/target_table.ts
+++ b/src/core/targets/target_table.ts
@@ -7,8 +7,14 @@
 import { hash32 } from "../hash32.ts";
 import { ColdStartLimit } from "./cold_start_limit.ts";
 import { LoadEstimate } from "./load_estimate.ts";
+import { StatedLimit } from "./stated_limit.ts";
 import { TargetHealth } from "./target_health.ts";
-import type { AttemptEnd, Registration, Target } from "./types.ts";
+import type {
+  AttemptEnd,
+  AttemptOutcome,
+  Registration,
+  Target,
+} from "./types.ts";
 import { WarmKeys } from "./warm_keys.ts";
 
 /** EWMA weight of one response in the service time ratio. */
@@ -28,6 +34,7 @@
   readonly health = new TargetHealth();
   readonly warmKeys = new WarmKeys();
   readonly coldStartLimit: ColdStartLimit;
+  readonly statedLimit = new StatedLimit();
   /** Time at which the cold start of the target ends. */
   coldStartUntilMs: number;
   /** Starts of the in-flight attempts, oldest first. */
@@ -156,6 +163,9 @@
     state.load.inFlightAttempts -= 1;
     state.health.recordOutcome(end.outcome, nowMs);
     if (end.load !== undefined) state.load.recordReport(end.load, nowMs);
+    if (isFromTarget(end.outcome)) {
+      state.statedLimit.recordResponse(end.limitPerS);
+    }
     if (end.coldForMs !== undefined && end.coldForMs > 0) {
       state.coldStartUntilMs = Math.max(
         state.coldStartUntilMs,
@@ -165,6 +175,11 @@
   }
 }
 
+/** Whether an attempt ended with a response of its target. */
+function isFromTarget(outcome: AttemptOutcome): boolean {
+  return outcome === "answered" || outcome === "failed" || outcome === "shed";
+}
+
 function isSameInstance(a: Target, b: Target): boolean {
   return a.startedMs === b.startedMs && a.address === b.address &&
     a.service === b.service;
--- a/src/core/targets/types.ts
+++ b/src/core/targets/types.ts
@@ -60,6 +60,11 @@
   readonly status: number;
   /** Load report of the response, if it has one. */
   readonly load?: LoadReport;
+  /**
+   * Requests per second that the target accepts from all hosts together, if the
+   * response states it.
+   */
+  readonly limitPerS?: number;
   /** Remaining cold start of the target, if the response states it. */
   readonly coldForMs?: number;
 }
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -218,6 +218,8 @@
     },
     hostCount: () => membership.peers().length + 1,
     isBlocked: (fingerprint) => fleetReports.isBlocked(fingerprint),
+    onLimitChanged: ({ id, service }, limitPerS) =>
+      log.event("target_limit", { target: id, service, limitPerS }),
   });
   const handler = new RequestHandler({
     dependencies,
--- a/src/node/entry/host_endpoints.ts
+++ b/src/node/entry/host_endpoints.ts
@@ -88,8 +88,11 @@
     metrics.requestsInProgress.set(requestsInProgress());
     metrics.storeAgeSeconds.set(replica.availability.ageMs / 1_000);
     metrics.targets.reset();
-    for (const { target } of targets.all()) {
-      metrics.targets.inc({ service: target.service });
+    metrics.limitedTargets.reset();
+    for (const { target: { service }, statedLimit } of targets.all()) {
+      metrics.targets.inc({ service });
+      if (statedLimit.limitPerS === undefined) continue;
+      metrics.limitedTargets.inc({ service });
     }
     metrics.registry.metrics().then((text) => {
       res.writeHead(200, { "content-type": metrics.registry.contentType });
--- a/src/node/entry/request_dependencies.ts
+++ b/src/node/entry/request_dependencies.ts
@@ -32,6 +32,7 @@
   TargetState,
   TargetTable,
 } from "../../core/targets/target_table.ts";
+import type { Target } from "../../core/targets/types.ts";
 import type { Locality, Random } from "../../core/types.ts";
 
 /** Assumed latency objective of a route without one, in milliseconds. */
@@ -55,6 +56,11 @@
   /** Number of hosts that share the retry slack, including this one. */
   readonly hostCount: () => number;
   readonly isBlocked: (fingerprint: string) => boolean;
+  /** Called when a response changes the limit that its target states. */
+  readonly onLimitChanged: (
+    target: Target,
+    limitPerS: number | undefined,
+  ) => void;
 }
 
 /** Dependencies of the pipeline that can be reconfigured. */
@@ -174,7 +180,13 @@
     },
     beginAttempt: (request, state, nowMs) =>
       targets.beginAttempt(state, request.keyHash, nowMs),
-    endAttempt: (handle, end, nowMs) => targets.endAttempt(handle, end, nowMs),
+    endAttempt(handle, end, nowMs) {
+      const { target, statedLimit } = handle.state;
+      const previousPerS = statedLimit.limitPerS;
+      targets.endAttempt(handle, end, nowMs);
+      const { limitPerS } = statedLimit;
+      if (limitPerS !== previousPerS) options.onLimitChanged(target, limitPerS);
+    },
     recordUnreachable: (id, nowMs) =>
       targets.get(id)?.health.recordOutcome("unreachable", nowMs),
     recordVersionResult({ service, route }, { target }, { isBad }) {
--- a/src/node/header_names.ts
+++ b/src/node/header_names.ts
@@ -23,6 +23,8 @@
   readonly notRun: string;
   /** Running requests, queued requests and slots of a target. */
   readonly load: string;
+  /** Requests per second that a target accepts from all hosts together. */
+  readonly limitPerS: string;
   /** Remaining cold start of a target in milliseconds. */
   readonly coldForMs: string;
 }
--- a/src/node/target/attempt.ts
+++ b/src/node/target/attempt.ts
@@ -238,6 +238,7 @@
         outcome,
         status: head?.status ?? 0,
         load: head && parseLoad(findHeader(head, headerNames.load)),
+        limitPerS: head && parseLimit(findHeader(head, headerNames.limitPerS)),
         coldForMs: coldForMs > 0 ? coldForMs : undefined,
       },
       mayHaveReachedTarget: this.#isSent,
@@ -280,3 +281,10 @@
     slots: Number(match[3]),
   };
 }
+
+const LIMIT = /^\d{1,9}(?:\.\d{1,9})?$/;
+
+/** Parses a request limit; a malformed one is ignored. */
+function parseLimit(value: string | undefined): number | undefined {
+  return LIMIT.test(value ?? "") ? Number(value) : undefined;
+}
--- a/src/node/telemetry/metrics.ts
+++ b/src/node/telemetry/metrics.ts
@@ -93,6 +93,11 @@
     ),
     liveHosts: gauge("live_hosts", "Live hosts other than this one"),
     targets: gauge("targets", "Registered targets by service", ["service"]),
+    limitedTargets: gauge(
+      "limited_targets",
+      "Targets that state a limit on their request rate, by service",
+      ["service"],
+    ),
     requestsInProgress: gauge("requests_in_progress", "Requests in progress"),
     documentVersion: gauge("document_version", "Applied document version"),
     storeAgeSeconds: gauge(
