Separate the division of a rate among hosts from cold starts

rate_share.ts divides the rate of a target among the hosts, and senders.ts caches the hosts that may send, so that a second limit can use both.

--- a/src/core/balance/usable_targets.ts
+++ b/src/core/balance/usable_targets.ts
@@ -5,10 +5,8 @@
  */
 import type { Organisation, Route } from "../document/document.ts";
 import type { VersionRule } from "../release/types.ts";
-import {
-  coldStartRatePerS,
-  type ColdStartSenders,
-} from "../targets/cold_start_limit.ts";
+import { coldStartRatePerS } from "../targets/cold_start_limit.ts";
+import type { SenderCandidates } from "../targets/rate_share.ts";
 import type { TargetState } from "../targets/target_table.ts";
 
 /** Conditions under which a target may receive a request. */
@@ -25,7 +23,7 @@
    * when unknown.
    */
   readonly coldRatePerS: number;
-  readonly coldStartSenders: () => ColdStartSenders;
+  readonly coldStartSenders: () => SenderCandidates;
 }
 
 /** Returns the targets that may receive a request. */
--- a/src/core/targets/cold_start_limit.ts
+++ b/src/core/targets/cold_start_limit.ts
@@ -4,13 +4,13 @@
  *
  * @module
  */
-import { hash32, mix32 } from "../hash32.ts";
 import {
   createBucket,
   resize,
   takeToken,
   type TokenBucket,
 } from "../limits/token_bucket.ts";
+import { computeRateShare, type SenderCandidates } from "./rate_share.ts";
 
 /**
  * Fraction of the tolerated rate that is used. The remainder covers hosts that
@@ -23,24 +23,6 @@
  */
 const CAPACITY = 1;
 
-/** Hosts among which the senders to a target in cold start are chosen. */
-export interface ColdStartSenders {
-  readonly selfHash: number;
-  /** Hashes of the other hosts that accept requests. */
-  readonly otherHashes: readonly number[];
-}
-
-/**
- * Hashes the identifiers of the hosts once, as the senders are needed for each
- * request.
- */
-export function createColdStartSenders(
-  selfId: string,
-  otherIds: readonly string[],
-): ColdStartSenders {
-  return { selfHash: hash32(selfId), otherHashes: otherIds.map(hash32) };
-}
-
 /**
  * Returns the rate at which this host may send to a target in cold start, in
  * requests a second; 0 if only other hosts may send to it.
@@ -51,19 +33,11 @@
 export function coldStartRatePerS(
   targetHash: number,
   toleratedRatePerS: number,
-  { selfHash, otherHashes }: ColdStartSenders,
+  candidates: SenderCandidates,
 ): number {
-  const usedRatePerS = toleratedRatePerS * USED_FRACTION;
-  const senderCount = Math.max(1, Math.floor(usedRatePerS / (1 + CAPACITY)));
-  const hostCount = otherHashes.length + 1;
-  if (hostCount <= senderCount) return usedRatePerS / hostCount;
-  const selfScore = mix32(targetHash, selfHash);
-  let higherScores = 0;
-  for (const otherHash of otherHashes) {
-    if (mix32(targetHash, otherHash) > selfScore) higherScores += 1;
-    if (higherScores >= senderCount) return 0;
-  }
-  return usedRatePerS / senderCount;
+  const ratePerS = toleratedRatePerS * USED_FRACTION;
+  const senderCount = Math.max(1, Math.floor(ratePerS / (1 + CAPACITY)));
+  return computeRateShare(targetHash, { ratePerS, senderCount }, candidates);
 }
 
 /** Limits the requests of this host to one target in cold start. */
--- a/src/core/targets/cold_start_limit_test.ts
+++ b/src/core/targets/cold_start_limit_test.ts
@@ -1,11 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { hash32 } from "../hash32.ts";
-import {
-  ColdStartLimit,
-  coldStartRatePerS,
-  createColdStartSenders,
-} from "./cold_start_limit.ts";
+import { ColdStartLimit, coldStartRatePerS } from "./cold_start_limit.ts";
+import { createSenderCandidates } from "./rate_share.ts";
 
 /** Returns the most requests that all hosts together send in any second. */
 function maxSendsPerS(hostCount: number, toleratedRatePerS: number): number {
@@ -14,7 +11,7 @@
     ratePerS: coldStartRatePerS(
       hash32("cold-1"),
       toleratedRatePerS,
-      createColdStartSenders(selfId, hostIds.filter((id) => id !== selfId)),
+      createSenderCandidates(selfId, hostIds.filter((id) => id !== selfId)),
     ),
     limit: new ColdStartLimit(0),
   }));
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -6,16 +6,13 @@
  */
 import { Quotas } from "../../core/limits/quotas.ts";
 import { Membership } from "../../core/membership/membership.ts";
-import type { HostRecord, HostState } from "../../core/membership/types.ts";
+import { Senders } from "../../core/membership/senders.ts";
+import type { HostState } from "../../core/membership/types.ts";
 import { Releases } from "../../core/release/releases.ts";
 import { VersionCounts } from "../../core/release/version_counts.ts";
 import type { RefusalReason } from "../../core/request/types.ts";
 import type { EntrySettings } from "../../core/settings/entry_settings.ts";
 import { GracefulStop } from "../../core/stop/graceful_stop.ts";
-import {
-  type ColdStartSenders,
-  createColdStartSenders,
-} from "../../core/targets/cold_start_limit.ts";
 import { RoundTripTimes } from "../../core/targets/round_trip_times.ts";
 import { TargetTable } from "../../core/targets/target_table.ts";
 import type { Locality } from "../../core/types.ts";
@@ -128,6 +125,7 @@
     excessFraction: settings.bounds.quotaExcess,
     slackRequests: settings.bounds.quotaSlack,
   }, { startsFull: settings.firstStart, nowMs: nowMs() });
+  const senders = new Senders(host.id, membership);
   const roundTrips = new RoundTripTimes(host);
   const gracefulStop = new GracefulStop(() =>
     options.settings.current.bounds.graceMs
@@ -202,7 +200,7 @@
     random,
     findHostRefusal,
     evacuatedZones: () => applier.evacuatedZones,
-    coldStartSenders: getColdStartSenders,
+    coldStartSenders: () => senders.readyHosts(nowMs()),
     distanceCosts: () => ({
       ...options.settings.current.distance,
       regionRoundTripMs: roundTrips.extraRegionMs,
@@ -313,23 +311,6 @@
       : undefined;
   }
 
-  /** Live peers from which `coldStartSenders` was created. */
-  let sendersLivePeers: readonly HostRecord[] = [];
-  let coldStartSenders = createColdStartSenders(host.id, []);
-
-  function getColdStartSenders(): ColdStartSenders {
-    const livePeers = membership.livePeers(nowMs());
-    if (livePeers !== sendersLivePeers) {
-      sendersLivePeers = livePeers;
-      const readyPeers = livePeers.filter(({ state }) => state === "ready");
-      coldStartSenders = createColdStartSenders(
-        host.id,
-        readyPeers.map(({ id }) => id),
-      );
-    }
-    return coldStartSenders;
-  }
-
   /** Fetches the first document from seeds while the store is unavailable. */
   async function fetchFromSeeds(): Promise<void> {
     while (applier.document === undefined) {
--- a/src/node/entry/request_dependencies.ts
+++ b/src/node/entry/request_dependencies.ts
@@ -26,7 +26,7 @@
   type RetryBounds,
   RetryBudget,
 } from "../../core/retry/retry_budget.ts";
-import type { ColdStartSenders } from "../../core/targets/cold_start_limit.ts";
+import type { SenderCandidates } from "../../core/targets/rate_share.ts";
 import { ServiceTimes } from "../../core/targets/service_times.ts";
 import type {
   TargetState,
@@ -50,7 +50,7 @@
   /** Returns why this host refuses all requests; `undefined` if it does not. */
   readonly findHostRefusal: (nowMs: number) => RefusalReason | undefined;
   readonly evacuatedZones: () => ReadonlySet<string>;
-  readonly coldStartSenders: () => ColdStartSenders;
+  readonly coldStartSenders: () => SenderCandidates;
   readonly distanceCosts: () => DistanceCosts;
   readonly retryBounds: () => RetryBounds;
   /** Number of hosts that share the retry slack, including this one. */
