Divide the limit that a target states among the hosts

Cause: no decision used the limit that a target states on its requests from all hosts together.

Now a target at its stated limit is not usable. As in a cold start, a hash chooses the few hosts that may send, each at its share, so the sum holds without an exchange for each request. Hosts learn of a limit and of its end from responses and from each other's reports; a host without a quorum counts all known hosts, as the other side of a partition may be sending too. Other hosts become senders in turn when a target has not responded for 5 s, so a limit ends although its senders have no requests. A request for which all targets are at their limit is refused at once with the time until the next one may be sent.

--- a/src/core/balance/usable_targets.ts
+++ b/src/core/balance/usable_targets.ts
@@ -24,6 +24,8 @@
    */
   readonly coldRatePerS: number;
   readonly coldStartSenders: () => SenderCandidates;
+  /** Senders to targets that state a limit. */
+  readonly limitSenders: () => SenderCandidates;
 }
 
 /** Returns the targets that may receive a request. */
@@ -32,22 +34,59 @@
   inputs: UsabilityInputs,
   nowMs: number,
 ): TargetState[] {
+  return states.filter((state) =>
+    isUsableBelowLimit(state, inputs, nowMs) &&
+    limitDelayMs(state, inputs, nowMs) === 0
+  );
+}
+
+/**
+ * Returns the time until one of the targets that are at their stated limit may
+ * receive the request, in milliseconds; Infinity if only other hosts may send
+ * to them, and `undefined` if there is no such target.
+ */
+export function findLimitDelayMs(
+  states: readonly TargetState[],
+  inputs: UsabilityInputs,
+  nowMs: number,
+): number | undefined {
+  const delaysMs = states.filter((state) =>
+    isUsableBelowLimit(state, inputs, nowMs)
+  ).map((state) => limitDelayMs(state, inputs, nowMs))
+    .filter((delayMs) => delayMs > 0);
+  return delaysMs.length > 0 ? Math.min(...delaysMs) : undefined;
+}
+
+/** Whether a target may receive a request unless it is at its stated limit. */
+function isUsableBelowLimit(
+  state: TargetState,
+  inputs: UsabilityInputs,
+  nowMs: number,
+): boolean {
   const { triedTargetIds, versionRule, evacuatedZones, route, organisation } =
     inputs;
-  return states.filter((state) => {
-    const { id, isDraining, availabilityZone, region, version } = state.target;
-    if (isDraining || evacuatedZones.has(availabilityZone)) return false;
-    if (!isHomeRegion(region, route.homeRegions)) return false;
-    if (organisation && !isHomeRegion(region, organisation.homeRegions)) {
-      return false;
-    }
-    if (
-      !isVersionAllowed(version, versionRule) || triedTargetIds.includes(id)
-    ) return false;
-    if (state.health.isEjected(nowMs)) return false;
-    return !state.isInColdStart(nowMs) ||
-      hasColdStartToken(state, inputs, nowMs);
-  });
+  const { id, isDraining, availabilityZone, region, version } = state.target;
+  if (isDraining || evacuatedZones.has(availabilityZone)) return false;
+  if (!isHomeRegion(region, route.homeRegions)) return false;
+  if (organisation && !isHomeRegion(region, organisation.homeRegions)) {
+    return false;
+  }
+  if (
+    !isVersionAllowed(version, versionRule) || triedTargetIds.includes(id)
+  ) return false;
+  if (state.health.isEjected(nowMs)) return false;
+  return !state.isInColdStart(nowMs) ||
+    hasColdStartToken(state, inputs, nowMs);
+}
+
+function limitDelayMs(
+  { hash, statedLimit }: TargetState,
+  { limitSenders }: UsabilityInputs,
+  nowMs: number,
+): number {
+  return statedLimit.limitPerS === undefined
+    ? 0
+    : statedLimit.delayMs(hash, limitSenders(), nowMs);
 }
 
 /** Whether a region is one of the home regions; an empty list allows all. */
--- a/src/core/membership/report.ts
+++ b/src/core/membership/report.ts
@@ -11,6 +11,7 @@
 } from "../release/types.ts";
 import type { StoreReport } from "../store/store_availability.ts";
 import type { ObjectKind } from "../store/types.ts";
+import type { TargetLimit } from "../targets/limit_reports.ts";
 import type { HostRecord } from "./types.ts";
 
 /** Fingerprint of a request that was in flight when a target crashed. */
@@ -30,6 +31,8 @@
   readonly counts: readonly VersionCount[];
   readonly stopped: readonly StoppedVersion[];
   readonly releases: readonly ReleaseProgress[];
+  /** Limits that targets stated in responses to the host. */
+  readonly limits: readonly TargetLimit[];
   /** Availability of the store as the host sees it. */
   readonly store: StoreReport;
   /** Crashes and blocked fingerprints that the host learned of recently. */
--- a/src/core/membership/zone_summary.ts
+++ b/src/core/membership/zone_summary.ts
@@ -13,6 +13,7 @@
 } from "../release/types.ts";
 import type { StoreReport } from "../store/store_availability.ts";
 import type { ObjectKind } from "../store/types.ts";
+import { mergeLimits, type TargetLimit } from "../targets/limit_reports.ts";
 import type { CrashReport, HostReport } from "./report.ts";
 import type { HostRecord } from "./types.ts";
 
@@ -37,6 +38,8 @@
   readonly counts: readonly VersionCount[];
   readonly stopped: readonly StoppedVersion[];
   readonly releases: readonly ReleaseProgress[];
+  /** Limits that targets stated in responses to the hosts. */
+  readonly limits: readonly TargetLimit[];
   readonly crashReports: readonly CrashReport[];
 }
 
@@ -77,6 +80,7 @@
     // The author has already merged the stopped versions of its peers.
     stopped: ownReport.stopped,
     releases: ownReport.releases,
+    limits: mergeLimits(reports.flatMap(({ limits }) => limits)),
     crashReports: distinctCrashReports(
       reports.flatMap(({ crashReports }) => crashReports),
     ),
--- a/src/core/request/dependencies.ts
+++ b/src/core/request/dependencies.ts
@@ -44,6 +44,12 @@
     request: RequestState,
     nowMs: number,
   ): readonly TargetState[];
+  /**
+   * Returns the time until a target that is at its stated limit may receive the
+   * request; Infinity while only other hosts may send to it, and `undefined` if
+   * there is no such target.
+   */
+  findLimitDelayMs(request: RequestState, nowMs: number): number | undefined;
   chooseTarget(
     usable: readonly TargetState[],
     request: RequestState,
--- a/src/core/request/pipeline_test.ts
+++ b/src/core/request/pipeline_test.ts
@@ -69,6 +69,7 @@
     findUsableTargets: ({ triedTargetIds }) =>
       targetTable.ofService("stockdesk")
         .filter(({ target }) => !triedTargetIds.includes(target.id)),
+    findLimitDelayMs: () => undefined,
     chooseTarget: ([first]) => first && createCandidate(first),
     beginAttempt: (_request, target, nowMs) =>
       targetTable.beginAttempt(target, undefined, nowMs),
@@ -261,6 +262,14 @@
     }),
     "fingerprint blocked": refuse({ dependencies: { isBlocked: () => true } }),
     "no usable target": refuse({ targetCount: 0 }),
+    "targets at their limit": refuse({
+      targetCount: 0,
+      dependencies: { findLimitDelayMs: () => 120.5 },
+    }),
+    "only other hosts may send below the limit": refuse({
+      targetCount: 0,
+      dependencies: { findLimitDelayMs: () => Infinity },
+    }),
     "queue wait too long": refuse({
       dependencies: {
         checkAdmission: () => ({
--- a/src/core/request/transition.ts
+++ b/src/core/request/transition.ts
@@ -186,10 +186,7 @@
       request,
       this.#nowMs,
     );
-    if (candidate === undefined) {
-      const reason = `service ${request.service} has no usable target`;
-      return this.#endWithRefusal(request, { kind: "no_target", reason });
-    }
+    if (candidate === undefined) return this.#refuseWithoutTarget(request);
     const overload = this.#dependencies.checkAdmission(
       request,
       candidate,
@@ -238,6 +235,26 @@
     });
   }
 
+  /** Refuses a request for which there is no usable target. */
+  #refuseWithoutTarget(request: RequestState): void {
+    const limitDelayMs = this.#dependencies.findLimitDelayMs(
+      request,
+      this.#nowMs,
+    );
+    if (limitDelayMs === undefined) {
+      const reason = `service ${request.service} has no usable target`;
+      return this.#endWithRefusal(request, { kind: "no_target", reason });
+    }
+    this.#endWithRefusal(request, {
+      kind: "no_room",
+      reason: "all usable targets are at the limit that they state",
+      // Another host may be able to send sooner than the default delay.
+      retryAfterMs: limitDelayMs === Infinity
+        ? undefined
+        : Math.ceil(limitDelayMs),
+    });
+  }
+
   /**
    * Decides whether the request is sent to another target. A retry takes a
    * token from the retry budget, except after an attempt that cannot have
--- a/src/core/targets/target_table.ts
+++ b/src/core/targets/target_table.ts
@@ -147,6 +147,7 @@
     state.load.inFlightAttempts += 1;
     if (keyHash !== undefined) state.warmKeys.add(keyHash, nowMs);
     if (state.isInColdStart(nowMs)) state.coldStartLimit.takeToken(nowMs);
+    state.statedLimit.takeToken(nowMs);
     if (state.health.needsTrialAttempt) state.health.beginTrialAttempt(nowMs);
     const start = { atMs: nowMs };
     state.inFlightStarts.add(start);
@@ -164,7 +165,7 @@
     state.health.recordOutcome(end.outcome, nowMs);
     if (end.load !== undefined) state.load.recordReport(end.load, nowMs);
     if (isFromTarget(end.outcome)) {
-      state.statedLimit.recordResponse(end.limitPerS);
+      state.statedLimit.recordResponse(end.limitPerS, nowMs);
     }
     if (end.coldForMs !== undefined && end.coldForMs > 0) {
       state.coldStartUntilMs = Math.max(
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -182,6 +182,7 @@
     state: hostState,
     membership,
     quotas,
+    targets,
     counts,
     releases,
     replica: () => replica,
@@ -201,6 +202,7 @@
     findHostRefusal,
     evacuatedZones: () => applier.evacuatedZones,
     coldStartSenders: () => senders.readyHosts(nowMs()),
+    limitSenders: () => senders.limitSenders(nowMs()),
     distanceCosts: () => ({
       ...options.settings.current.distance,
       regionRoundTripMs: roundTrips.extraRegionMs,
@@ -216,8 +218,10 @@
     },
     hostCount: () => membership.peers().length + 1,
     isBlocked: (fingerprint) => fleetReports.isBlocked(fingerprint),
-    onLimitChanged: ({ id, service }, limitPerS) =>
-      log.event("target_limit", { target: id, service, limitPerS }),
+    onLimitChanged({ id, service }, limitPerS) {
+      log.event("target_limit", { target: id, service, limitPerS });
+      reportExchange.requestReport();
+    },
   });
   const handler = new RequestHandler({
     dependencies,
--- a/src/node/entry/fleet_reports.ts
+++ b/src/node/entry/fleet_reports.ts
@@ -16,6 +16,12 @@
 import type { StoppedVersion } from "../../core/release/types.ts";
 import type { VersionCounts } from "../../core/release/version_counts.ts";
 import type { StoreReport } from "../../core/store/store_availability.ts";
+import {
+  createLimitReport,
+  recordLimitReport,
+  type TargetLimit,
+} from "../../core/targets/limit_reports.ts";
+import type { TargetTable } from "../../core/targets/target_table.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { PeerStatus, StoreReplica } from "./store_replica.ts";
 
@@ -37,6 +43,7 @@
   readonly state: () => HostState;
   readonly membership: Membership;
   readonly quotas: Quotas;
+  readonly targets: TargetTable;
   readonly counts: VersionCounts;
   readonly releases: Releases;
   readonly replica: () => StoreReplica;
@@ -68,8 +75,9 @@
 
   /** Creates the next report of this host. */
   createReport(): HostReport {
-    const { self, startedMs, state, quotas, counts, releases, replica, nowMs } =
+    const { self, startedMs, state, quotas, targets, counts, releases, nowMs } =
       this.#options;
+    const { replica } = this.#options;
     this.#sequence += 1;
     const atMs = nowMs();
     this.#recordedCrashes = this.#recordedCrashes.filter((recorded) =>
@@ -84,6 +92,7 @@
       counts: counts.getLocalCounts(releases.getServicesInRelease()),
       stopped: releases.getStoppedVersions(),
       releases: releases.getProgress(atMs),
+      limits: createLimitReport(targets, atMs),
       crashReports: this.#recordedCrashes
         .filter((recorded) =>
           atMs - recorded.recordedMs < CRASH_REPORT_DURATION_MS
@@ -99,10 +108,20 @@
    */
   createZoneSummary(ownReport: HostReport): ZoneSummary {
     const { membership, counts, releases, nowMs, self } = this.#options;
-    const peerReports = membership.livePeers(nowMs())
+    const atMs = nowMs();
+    const peerReports = membership.livePeers(atMs)
       .filter((host) => host.availabilityZone === self.availabilityZone)
-      .map(({ id }) => this.#reports.get(id))
-      .filter((report) => report !== undefined);
+      .flatMap(({ id }) => {
+        const report = this.#reports.get(id);
+        const receivedMs = this.#peerStatuses.get(id)?.receivedMs ?? atMs;
+        return report === undefined ? [] : [{
+          ...report,
+          limits: report.limits.map((limit) => ({
+            ...limit,
+            ageMs: limit.ageMs + atMs - receivedMs,
+          })),
+        }];
+      });
     return summarizeZone(
       ownReport,
       peerReports,
@@ -131,6 +150,7 @@
       counts.setPeerCounts(`${id} ${startedMs}`, report.counts);
     }
     releases.recordProgress(report.releases, atMs);
+    this.#recordLimits(report.limits, id);
     this.#mergeStopsAndCrashes(report, id);
   }
 
@@ -155,6 +175,7 @@
     quotas.recordZoneDemands(availabilityZone, summary.demands, atMs);
     counts.setZoneCounts(availabilityZone, summary.counts);
     releases.recordProgress(summary.releases, atMs);
+    this.#recordLimits(summary.limits, authorId);
     this.#mergeStopsAndCrashes(summary, authorId);
   }
 
@@ -206,6 +227,21 @@
     this.updateQuotaPeers();
   }
 
+  #recordLimits(limits: readonly TargetLimit[], reporterId: string): void {
+    const { targets, log, nowMs } = this.#options;
+    for (
+      const { target: { id, service }, statedLimit: { limitPerS } }
+        of recordLimitReport(targets, limits, nowMs())
+    ) {
+      log.event("target_limit", {
+        target: id,
+        service,
+        limitPerS,
+        from: reporterId,
+      });
+    }
+  }
+
   #mergeStopsAndCrashes(
     { stopped, crashReports }: {
       stopped: readonly StoppedVersion[];
--- a/src/node/entry/request_dependencies.ts
+++ b/src/node/entry/request_dependencies.ts
@@ -13,7 +13,11 @@
 import { LocalityWeights } from "../../core/balance/locality_weights.ts";
 import { RouteSizes } from "../../core/balance/route_sizes.ts";
 import { TrafficSplitter } from "../../core/balance/traffic_splitter.ts";
-import { findUsableTargets } from "../../core/balance/usable_targets.ts";
+import {
+  findLimitDelayMs,
+  findUsableTargets,
+  type UsabilityInputs,
+} from "../../core/balance/usable_targets.ts";
 import type { Document, Route, Service } from "../../core/document/document.ts";
 import { RouteTable } from "../../core/document/route_table.ts";
 import type { Quotas } from "../../core/limits/quotas.ts";
@@ -51,6 +55,7 @@
   readonly findHostRefusal: (nowMs: number) => RefusalReason | undefined;
   readonly evacuatedZones: () => ReadonlySet<string>;
   readonly coldStartSenders: () => SenderCandidates;
+  readonly limitSenders: () => SenderCandidates;
   readonly distanceCosts: () => DistanceCosts;
   readonly retryBounds: () => RetryBounds;
   /** Number of hosts that share the retry slack, including this one. */
@@ -106,13 +111,11 @@
     return retryBudget;
   }
 
-  function findUsableByRule(
-    request: RequestState,
+  function usabilityInputs(
+    { service, route, organisation, triedTargetIds }: RequestState,
     versionRule: VersionRule,
-    nowMs: number,
-  ): TargetState[] {
-    const { service, route, organisation, triedTargetIds } = request;
-    return findUsableTargets(targets.ofService(service), {
+  ): UsabilityInputs {
+    return {
       route,
       organisation,
       triedTargetIds,
@@ -120,7 +123,20 @@
       evacuatedZones: options.evacuatedZones(),
       coldRatePerS: servicesById.get(service)?.coldRatePerS ?? 0,
       coldStartSenders: options.coldStartSenders,
-    }, nowMs);
+      limitSenders: options.limitSenders,
+    };
+  }
+
+  function findUsableByRule(
+    request: RequestState,
+    versionRule: VersionRule,
+    nowMs: number,
+  ): TargetState[] {
+    return findUsableTargets(
+      targets.ofService(request.service),
+      usabilityInputs(request, versionRule),
+      nowMs,
+    );
   }
 
   return {
@@ -155,6 +171,16 @@
       const fallbackRule = releases.getVersionRule(service, route.id, 1);
       return findUsableByRule(request, fallbackRule, nowMs);
     },
+    findLimitDelayMs(request, nowMs) {
+      const { service, route } = request;
+      // As above, any version but the one under release may be used.
+      const versionRule = releases.getVersionRule(service, route.id, 1);
+      return findLimitDelayMs(
+        targets.ofService(service),
+        usabilityInputs(request, versionRule),
+        nowMs,
+      );
+    },
     chooseTarget(usable, { keyHash, route, bodyBytes }, nowMs) {
       const costs = options.distanceCosts();
       const objectiveMs = route.objectiveMs || DEFAULT_OBJECTIVE_MS;
--- a/src/node/peer/report_codec.ts
+++ b/src/node/peer/report_codec.ts
@@ -11,12 +11,14 @@
 import type { ReleaseProgress } from "../../core/release/types.ts";
 import type { StoreReport } from "../../core/store/store_availability.ts";
 import type { KindDelta, ObjectKind } from "../../core/store/types.ts";
+import type { TargetLimit } from "../../core/targets/limit_reports.ts";
 import {
   type Demands,
   type HostReport as HostReportMessage,
   HostReportSchema,
   PeerDatagramSchema,
   type StoreReport as StoreReportMessage,
+  type TargetLimit as TargetLimitMessage,
   ZoneSummarySchema,
 } from "../../gen/cranberryhoist/v1/peer_pb.ts";
 import {
@@ -122,6 +124,7 @@
       stopped: summary.stopped.map((stopped) => ({ ...stopped })),
       blames: summary.crashReports.map((crash) => ({ ...crash })),
       releases: releasesToMessage(summary.releases),
+      limits: limitsToMessage(summary.limits),
     }),
   );
 }
@@ -158,6 +161,7 @@
     stopped: message.stopped,
     crashReports: message.blames,
     releases: releasesFromMessage(message.releases),
+    limits: limitsFromMessage(message.limits),
   };
 }
 
@@ -178,6 +182,7 @@
     stopped: report.stopped.map((stopped) => ({ ...stopped })),
     blames: report.crashReports.map((crash) => ({ ...crash })),
     releases: releasesToMessage(report.releases),
+    limits: limitsToMessage(report.limits),
     store: storeReportToMessage(report.store),
   });
 }
@@ -200,6 +205,24 @@
   );
 }
 
+function limitsToMessage(limits: readonly TargetLimit[]) {
+  return limits.map(({ limitPerS = NO_VALUE, ...limit }) => ({
+    ...limit,
+    limitPerS,
+  }));
+}
+
+function limitsFromMessage(
+  limits: readonly TargetLimitMessage[],
+): TargetLimit[] {
+  return limits.map(({ targetId, startedMs, limitPerS, ageMs }) => ({
+    targetId,
+    startedMs,
+    limitPerS: limitPerS === NO_VALUE ? undefined : limitPerS,
+    ageMs,
+  }));
+}
+
 function demandsToMessage(demands: ReadonlyMap<string, Demand>) {
   const values = [...demands.values()];
   return {
@@ -264,6 +287,7 @@
     stopped: message.stopped,
     crashReports: message.blames,
     releases: releasesFromMessage(message.releases),
+    limits: limitsFromMessage(message.limits),
     store: storeReportFromMessage(message.store),
   };
 }
--- a/src/node/peer/report_codec_test.ts
+++ b/src/node/peer/report_codec_test.ts
@@ -21,6 +21,10 @@
     counts: [],
     stopped: [{ service: "desk", version: "v2", reason: "bad" }],
     releases: [],
+    limits: [
+      { targetId: "t1", startedMs: 5, limitPerS: n, ageMs: 100 * n },
+      { targetId: `u${n}`, startedMs: 6, limitPerS: undefined, ageMs: 20 },
+    ],
     store: { watches, isFailing: false, ageMs: 20, sinceReturnMs: Infinity },
     crashReports: [{ fingerprint: "f", targetId: "t" }],
   };
@@ -41,6 +45,10 @@
     admitted: 8,
   });
   assert.equal(summary.crashReports.length, 1);
+  assert.deepEqual(
+    summary.limits.map(({ targetId, limitPerS }) => [targetId, limitPerS]),
+    [["t1", 1], ["u1", undefined], ["u2", undefined]],
+  );
   const decoded = decodeZoneSummary({
     availabilityZone: "north-a",
     authorId: "host-1",
