Log the store's epochs, lost histories and outdated responses

The adapter now decodes the number of the store's history (the epoch) from each response; a host logs store_restored when it grows, history_lost when a watch has to be replaced by a list, and store_outdated when a response is older than its call. No decision uses the epoch yet.

--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -62,9 +62,15 @@
   readonly settings: SettingsSource<EntrySettings>;
   readonly headerNames: HeaderNames;
   readonly codec: ObjectCodec;
-  /** Creates the client of the store. `onCall` counts its calls. */
+  /**
+   * Creates the client of the store. `onCall` counts its calls, and `onEpoch`
+   * gets the epoch of each response.
+   */
   readonly createStore: (
-    listener: { onCall: (call: string, end: string) => void },
+    listener: {
+      onCall: (call: string, end: string) => void;
+      onEpoch: (epoch: number) => void;
+    },
   ) => ObjectStore;
   /**
    * Creates the endpoints for lookups.
@@ -115,6 +121,7 @@
 
   const store = options.createStore({
     onCall: (call, end) => metrics.storeCalls.inc({ call, end }),
+    onEpoch: (epoch) => replica.recordEpoch(epoch),
   });
   const membership = new Membership(self);
   const targets = new TargetTable();
--- a/src/node/entry/store_replica.ts
+++ b/src/node/entry/store_replica.ts
@@ -79,10 +79,12 @@
   #availability: StoreAvailability;
   #isFetching = false;
   #lastProbeMs = -Infinity;
+  /** Newest epoch of the store that this host knows; -1 before the first. */
+  #epoch = -1;
 
   constructor(options: StoreReplicaOptions) {
     this.#options = options;
-    const { store, random, nowMs } = options;
+    const { store, random, nowMs, log } = options;
     this.#election = new WatcherElection(nowMs());
     this.#availability = combineStoreReports(
       this.createStoreReport(),
@@ -102,6 +104,14 @@
           random,
           onChanges: (changes, previousRevision) =>
             this.#handleChanges(kind, changes, previousRevision),
+          onOutdated: (revision) =>
+            log.warn("store_outdated", {
+              kind,
+              revision,
+              heldRevision: view.revision,
+            }),
+          onHistoryLost: () =>
+            log.event("history_lost", { kind, revision: view.revision }),
           onResponse: () => this.recordResponse(),
           onFailure: (error) => this.recordFailure(error.message),
         }),
@@ -226,6 +236,16 @@
     }
   }
 
+  /** Records the epoch of a response of the store. */
+  recordEpoch(epoch: number): void {
+    if (epoch <= this.#epoch) return;
+    const { log } = this.#options;
+    if (this.#epoch >= 0) {
+      log.warn("store_restored", { epoch, before: this.#epoch });
+    }
+    this.#epoch = epoch;
+  }
+
   /** Records a response of the store. */
   recordResponse(): void {
     const { nowMs, log } = this.#options;
--- a/src/node/store/kind_follower.ts
+++ b/src/node/store/kind_follower.ts
@@ -51,6 +51,10 @@
    * the newest change before the update; `undefined` for the first list.
    */
   readonly onChanges: (changes: ViewChanges, previousRevision?: number) => void;
+  /** Called with the revision of a response that is older than its call. */
+  readonly onOutdated: (revision: number) => void;
+  /** Called when the history that a watch needs is lost. */
+  readonly onHistoryLost: () => void;
   /** Called with each response of the store. */
   readonly onResponse: () => void;
   /** Called when a call had no usable response. */
@@ -130,6 +134,7 @@
       if (!(error instanceof StoreError)) throw error;
       if (error.kind === "compacted") {
         onResponse();
+        this.#options.onHistoryLost();
         this.#mustList = true;
         return 0;
       }
@@ -139,21 +144,26 @@
   }
 
   async #call(signal: AbortSignal): Promise<ViewChanges> {
-    const { kind, view, store } = this.#options;
+    const { kind, view, store, onOutdated } = this.#options;
     if (this.#mustList || this.#mode === "list") {
       // Only hosts are listed periodically, and a new host reports itself soon,
       // so the list may be stale.
       const acceptStale = this.#mode === "list";
       const { objects, revision } = await store.list(kind, { acceptStale });
       this.#mustList = false;
+      if (revision < view.revision && !acceptStale) onOutdated(revision);
       return view.applyList(objects, revision);
     }
     const waitMs = this.#mustCatchUp ? CATCH_UP_TIMEOUT_MS : WATCH_TIMEOUT_MS;
-    const { changes, revision } = await store.watch(kind, view.revision, {
+    const sinceRevision = view.revision;
+    const { changes, revision } = await store.watch(kind, sinceRevision, {
       waitMs,
       signal,
     });
     this.#mustCatchUp = false;
+    const isOutdated = revision < sinceRevision ||
+      (revision === sinceRevision && changes.length > 0);
+    if (isOutdated) onOutdated(revision);
     return view.applyChanges(changes, revision);
   }
 
--- a/src/node/store/object_store.ts
+++ b/src/node/store/object_store.ts
@@ -34,12 +34,19 @@
 
 /** All objects of a kind as of a revision. */
 export interface StoreList {
+  /**
+   * Number of the store's history. It grows each time the store is restored
+   * from a copy, and revisions start again from that of the copy.
+   */
+  readonly epoch: number;
   readonly objects: readonly StoredObject[];
   readonly revision: number;
 }
 
 /** All changes of a kind up to a revision. */
 export interface StoreChanges {
+  /** Number of the store's history. */
+  readonly epoch: number;
   readonly changes: readonly StoreChange[];
   readonly revision: number;
 }
