Ignore targets that left when a restored store lists them again

A store that comes back from a copy lists targets that have left since. Hosts would send them requests until their registration ends again, and callers would wait for connections to addresses that may belong to another target by then.

A host now remembers the last statement of each target that left. After a restore it ignores a registration that is not newer, until the target states something new or the registration has outlasted the time after which that of a silent target ends.

Test: "a restore of the store takes back no withdrawal" failed before (north-a-1, which had left, ran requests) and passes; its draining target and evacuated zone passed before too.

--- a/src/node/entry/object_applier.ts
+++ b/src/node/entry/object_applier.ts
@@ -9,7 +9,8 @@
 import type { Releases } from "../../core/release/releases.ts";
 import type { KindView, ViewChanges } from "../../core/store/kind_view.ts";
 import type { StoreAvailability } from "../../core/store/store_availability.ts";
-import type { ObjectKind } from "../../core/store/types.ts";
+import type { ObjectKind, StoredObject } from "../../core/store/types.ts";
+import { DepartedTargets } from "../../core/targets/departed_targets.ts";
 import {
   earliestStartsByVersion,
   LapsedRegistrations,
@@ -51,6 +52,12 @@
 export class ObjectApplier {
   readonly #options: ObjectApplierOptions;
   readonly #lapsedRegistrations = new LapsedRegistrations();
+  readonly #departedTargets = new DepartedTargets();
+  /** Versions of the registrations that were applied last, by target. */
+  readonly #targetVersions = new Map<
+    string,
+    readonly number[] | undefined
+  >();
   #evacuatedZones: ReadonlySet<string> = new Set();
   #document: Document | undefined;
 
@@ -89,11 +96,16 @@
   }
 
   /**
-   * Removes targets that did not register again in time. Called several times
-   * per second.
+   * Removes targets that did not register again in time, and adds targets whose
+   * registration came back with a restored store and has lasted. Called several
+   * times per second.
    */
   tick(): void {
-    const { storeAvailability, nowMs, log } = this.#options;
+    const { storeAvailability, nowMs, log, view } = this.#options;
+    for (const id of this.#departedTargets.drainBelieved(nowMs())) {
+      const object = view("targets").get(id);
+      if (object !== undefined) this.#putTarget(object);
+    }
     for (
       const id of this.#lapsedRegistrations.drainExpired(
         storeAvailability(),
@@ -139,31 +151,21 @@
   }
 
   #applyTargets({ changed, removed }: ViewChanges): void {
-    const { codec, targets, log, nowMs, onTargetLeaving } = this.#options;
+    const { log, nowMs, codec, view } = this.#options;
     for (const object of changed) {
-      const registration = codec.decodeTarget(object);
-      if (registration === undefined) {
-        log.warn("target_unreadable", { target: object.name });
-        this.#removeTarget(object.name);
-        continue;
-      }
-      const previousTarget = targets.get(object.name)?.target;
-      this.#lapsedRegistrations.recordRegistration(object.name);
-      targets.put(registration, nowMs());
-      log.event("target_changed", {
-        target: object.name,
-        service: registration.service,
-        version: registration.version,
-        zone: registration.availabilityZone,
-        address: registration.address,
-        draining: registration.isDraining,
-        coldForMs: registration.coldForMs,
-        revision: object.revision,
-        known: previousTarget !== undefined,
-      });
-      if (registration.isDraining) onTargetLeaving(registration.address);
+      const { name, revision } = object;
+      const version = codec.contentVersion("targets", object);
+      const { epoch } = view("targets").position;
+      const isBelieved = version === undefined ||
+        this.#departedTargets.isBelieved(name, version, {
+          epoch,
+          nowMs: nowMs(),
+        });
+      if (isBelieved) this.#putTarget(object);
+      else log.event("target_ignored", { target: name, version, revision });
     }
     for (const id of removed) {
+      this.#departedTargets.recordEnd(id);
       if (
         this.#lapsedRegistrations.recordRemoval(
           id,
@@ -178,11 +180,44 @@
     this.#recordVersions();
   }
 
+  #putTarget(object: StoredObject): void {
+    const { codec, targets, log, nowMs, onTargetLeaving } = this.#options;
+    const { name, revision } = object;
+    const registration = codec.decodeTarget(object);
+    if (registration === undefined) {
+      log.warn("target_unreadable", { target: name });
+      return this.#removeTarget(name);
+    }
+    const previousTarget = targets.get(name)?.target;
+    this.#lapsedRegistrations.recordRegistration(name);
+    targets.put(registration, nowMs());
+    this.#targetVersions.set(name, codec.contentVersion("targets", object));
+    log.event("target_changed", {
+      target: name,
+      service: registration.service,
+      version: registration.version,
+      zone: registration.availabilityZone,
+      address: registration.address,
+      draining: registration.isDraining,
+      coldForMs: registration.coldForMs,
+      revision,
+      known: previousTarget !== undefined,
+    });
+    if (registration.isDraining) onTargetLeaving(registration.address);
+  }
+
   #removeTarget(id: string): void {
-    const { targets, onTargetLeaving } = this.#options;
-    const address = targets.get(id)?.target.address;
+    const { targets, onTargetLeaving, view } = this.#options;
+    const target = targets.get(id)?.target;
+    const version = this.#targetVersions.get(id);
+    this.#targetVersions.delete(id);
+    if (target === undefined) return;
     targets.remove(id);
-    if (address !== undefined) onTargetLeaving(address);
+    if (version !== undefined) {
+      const { epoch } = view("targets").position;
+      this.#departedTargets.recordDeparture(id, version, epoch);
+    }
+    onTargetLeaving(target.address);
   }
 
   #recordVersions(): void {
