Register hosts again in a restored store

A store that comes back from a copy may lack the registrations of hosts. Hosts looked for their own registration every 30 s only, so a host that started meanwhile did not find them through the store, and with seeds that are down it would have found none.

A host now looks for its registration when it has listed the hosts of a new epoch.

Test: "hosts register again in a restored store" failed before ("timed out waiting for: all hosts are registered", 20 s) and passes in 0.3 s.

--- a/src/node/entry/host_registration.ts
+++ b/src/node/entry/host_registration.ts
@@ -39,6 +39,8 @@
   readonly #staleRegistrations = new StaleRegistrations();
   #lastStaleCheckMs: number;
   #isRegistering = false;
+  /** Epoch of the store in which this host was found or made registered. */
+  #registeredEpoch: number | undefined;
 
   constructor(options: HostRegistrationOptions) {
     this.#options = options;
@@ -77,14 +79,21 @@
   tick(): void {
     const { nowMs, membership, replica, self } = this.#options;
     const atMs = nowMs();
-    if (atMs - this.#lastStaleCheckMs < STALE_CHECK_INTERVAL_MS) return;
-    this.#lastStaleCheckMs = atMs;
-    const registeredIds = [...replica.view("hosts").objects()]
-      .map(({ name }) => name);
-    // Other hosts may have removed the registration during a partition.
+    const view = replica.view("hosts");
+    const { epoch } = view.position;
+    this.#registeredEpoch ??= view.isEmpty ? undefined : epoch;
+    const isRestored = epoch !== (this.#registeredEpoch ?? epoch);
+    const isCheckDue = atMs - this.#lastStaleCheckMs >= STALE_CHECK_INTERVAL_MS;
+    if (!isRestored && !isCheckDue) return;
+    const registeredIds = [...view.objects()].map(({ name }) => name);
+    // A restored store may lack the registration, and other hosts may have
+    // removed it during a partition.
+    this.#registeredEpoch = epoch;
     if (!registeredIds.includes(self.id) && !this.#options.isStopping()) {
       this.register();
     }
+    if (!isCheckDue) return;
+    this.#lastStaleCheckMs = atMs;
     const livePeers = membership.livePeers(atMs);
     const staleIds = this.#staleRegistrations.tick(
       registeredIds,
