Write a completed release's outcome again when the store has lost it

A store that comes back from a copy lists a completed release as ordered or running again. A host that had learned of the outcome from the store only, after a restart, began a new evaluation, and as task owner it wrote that the release is running, although its old targets had been stopped.

A host now remembers that the store has listed a release as complete, and writes the outcome again. Rolled back releases had this already, as stopped versions are remembered.

--- a/src/core/release/releases.ts
+++ b/src/core/release/releases.ts
@@ -58,6 +58,11 @@
   routeShares: ReadonlyMap<string, number>;
   /** Time of the last attempt to write the outcome. */
   lastWriteMs: number;
+  /**
+   * Whether the store has held the outcome `complete` for this order. A store
+   * that is restored from a copy may list an earlier outcome again.
+   */
+  wasCompleted: boolean;
 }
 
 /** Inputs of a tick. */
@@ -103,6 +108,7 @@
           share: computeEvaluationShare(this.#bounds().exposureShare),
           routeShares: new Map(),
           lastWriteMs: -Infinity,
+          wasCompleted: false,
         });
       } else previous.order = order;
       if (order.outcome === "rolled_back") {
@@ -113,6 +119,8 @@
       }
       if (order.outcome === "complete") {
         this.#baseVersions.set(order.service, new Set([order.version]));
+        const state = this.#states.get(order.service);
+        if (state !== undefined) state.wasCompleted = true;
       }
     }
     for (const service of removed) this.#states.delete(service);
@@ -253,6 +261,13 @@
     if (order.outcome === "complete" || order.outcome === "rolled_back") {
       return [];
     }
+    if (state.wasCompleted) {
+      return this.#writeOutcome(state, {
+        outcome: "complete",
+        reason: "the store has lost the outcome",
+        inputs,
+      }, nowMs);
+    }
     const reason = this.#stopReasons.get(service)?.get(version);
     if (reason !== undefined) {
       return this.#writeOutcome(
@@ -427,8 +442,9 @@
     return [{ type: "write", order, outcome, reason }];
   }
 
-  #hasEnded({ order }: ReleaseState): boolean {
-    return order.outcome === "complete" || order.outcome === "rolled_back" ||
+  #hasEnded({ order, wasCompleted }: ReleaseState): boolean {
+    return wasCompleted || order.outcome === "complete" ||
+      order.outcome === "rolled_back" ||
       (this.#stopReasons.get(order.service)?.has(order.version) ?? false);
   }
 
--- a/src/core/release/releases_test.ts
+++ b/src/core/release/releases_test.ts
@@ -295,3 +295,43 @@
     version: "v1",
   });
 });
+
+// Guards against an ended release that starts anew because the store was
+// restored from a copy without its outcome.
+test("an outcome that the store has lost is written again", () => {
+  for (const outcome of ["complete", "rolled_back"] as const) {
+    const releases = new Releases(new VersionCounts(), () => ({
+      exposureShare: 0.1,
+    }));
+    releases.recordVersions("desk", new Map([["v1", 100]]));
+    const order: ReleaseOrder = {
+      service: "desk",
+      version: "v2",
+      durationMs: 12_000,
+      outcome,
+      revision: 7,
+    };
+    const restored: ReleaseOrder = {
+      ...order,
+      outcome: "ordered",
+      revision: 5,
+    };
+    releases.setOrders([order], 0);
+    releases.setOrders([restored], 1_000);
+    const effects = releases.tick({
+      storeAgeMs: 0,
+      hasQuorum: true,
+      isTaskOwner: () => true,
+    }, 1_100);
+    const writes = effects.filter((effect) => effect.type === "write");
+    assert.deepEqual(
+      writes.map((write) => [write.outcome, write.order.revision]),
+      [[outcome, 5]],
+    );
+    assert.deepEqual(releases.getVersionRule("desk", "look", 0.01), {
+      type: "only",
+      version: outcome === "complete" ? "v2" : "v1",
+    });
+    assert.equal(releases.getServicesInRelease().size, 0);
+  }
+});
