Back off when a list does not replace a lost history

From the second lost history in a row on, the next list waits with the back-off of failed calls. The first one is still replaced at once.

Test: "repeated lists after a lost history back off" failed before (146 watches in 1 s with a store that responds in 2 ms) and passes.

--- a/src/node/store/kind_follower.ts
+++ b/src/node/store/kind_follower.ts
@@ -70,6 +70,8 @@
   #mode: FollowMode;
   #wakeController = new AbortController();
   #failureCount = 0;
+  /** Watches in a row whose history was lost. */
+  #lostHistoryCount = 0;
   #mustList = true;
   #mustCatchUp = false;
   /** Whether the store was restored since the last list. */
@@ -145,10 +147,16 @@
         onResponse();
         this.#options.onHistoryLost();
         this.#mustList = true;
-        return 0;
+        // A list that does not help is not repeated at once.
+        const delayMs = this.#lostHistoryCount === 0
+          ? 0
+          : this.#backOffMs(this.#lostHistoryCount);
+        this.#lostHistoryCount += 1;
+        return delayMs;
       }
       onFailure(error);
-      return this.#nextBackOffMs();
+      this.#failureCount += 1;
+      return this.#backOffMs(this.#failureCount);
     }
   }
 
@@ -163,6 +171,7 @@
       signal,
     });
     this.#mustCatchUp = false;
+    this.#lostHistoryCount = 0;
     if (isLater(since, position)) onOutdated(position);
     // Changes since a revision of another epoch may be incomplete.
     if (position.epoch > view.position.epoch) this.#mustList = true;
@@ -190,12 +199,12 @@
     }
   }
 
-  #nextBackOffMs(): number {
+  /** @param count Failures in a row, at least 1. */
+  #backOffMs(count: number): number {
     const maxDelayMs = Math.min(
       MAX_BACK_OFF_MS,
-      MIN_BACK_OFF_MS * 2 ** this.#failureCount,
+      MIN_BACK_OFF_MS * 2 ** (count - 1),
     );
-    this.#failureCount += 1;
     return maxDelayMs * (0.5 + 0.5 * this.#options.random());
   }
 }
--- /dev/null
+++ b/src/node/store/kind_follower_test.ts
@@ -0,0 +1,126 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { StorePosition } from "../../core/store/position.ts";
+import { KindView } from "../../core/store/kind_view.ts";
+import type { StoredObject } from "../../core/store/types.ts";
+import { KindFollower } from "./kind_follower.ts";
+import { type ObjectStore, StoreError } from "./object_store.ts";
+
+/** Time until the store responds. */
+const RESPONSE_MS = 2;
+
+const OBJECT: StoredObject = {
+  name: "main",
+  revision: 3,
+  specification: {},
+  status: null,
+};
+
+/** Follows a store with the given behaviour and returns the calls to it. */
+async function follow(
+  { position, watch, durationMs }: {
+    /** Position of each list. */
+    position: () => StorePosition;
+    watch: ObjectStore["watch"];
+    durationMs: number;
+  },
+) {
+  const view = new KindView();
+  let listCount = 0;
+  let watchCount = 0;
+  const rejectCall = () => Promise.reject(new Error("unexpected call"));
+  const store: ObjectStore = {
+    async list() {
+      listCount += 1;
+      await sleep(RESPONSE_MS);
+      return { objects: [OBJECT], position: position() };
+    },
+    async watch(...args) {
+      watchCount += 1;
+      await sleep(RESPONSE_MS);
+      return await watch(...args);
+    },
+    put: rejectCall,
+    putStatus: rejectCall,
+    remove: rejectCall,
+    probe: rejectCall,
+    close() {},
+  };
+  const follower = new KindFollower({
+    kind: "document",
+    mode: "watch",
+    view,
+    store,
+    random: () => 1,
+    nowMs: () => performance.now(),
+    onChanges() {},
+    onOutdated() {},
+    onHistoryLost() {},
+    onResponse() {},
+    onFailure() {},
+  });
+  const stop = follower.start();
+  await sleep(durationMs);
+  stop();
+  return { view, listCount, watchCount };
+}
+
+/** Waits until the call is aborted, as a watch without changes does. */
+function waitForAbort(
+  _kind: string,
+  _revision: number,
+  { signal }: { signal: AbortSignal },
+): Promise<never> {
+  return new Promise((_resolve, reject) =>
+    signal.addEventListener("abort", () => reject(new Error("aborted")))
+  );
+}
+
+// Guards against a host that floods the store with lists and watches while the
+// history that its watch needs stays lost.
+test("repeated lists after a lost history back off", async () => {
+  const { listCount, watchCount } = await follow({
+    position: () => ({ epoch: 1, revision: 5 }),
+    watch: () => Promise.reject(new StoreError("compacted", "status 410")),
+    durationMs: 1_000,
+  });
+  assert.ok(watchCount >= 2 && watchCount <= 6, `${watchCount} watches`);
+  assert.ok(listCount <= watchCount + 1, `${listCount} lists`);
+});
+
+// Guards against a delay of the first list after a lost history, which is the
+// usual case.
+test("one lost history is replaced by a list at once", async () => {
+  let watchCount = 0;
+  const { listCount } = await follow({
+    position: () => ({ epoch: 1, revision: 5 }),
+    watch(...args) {
+      watchCount += 1;
+      return watchCount === 1
+        ? Promise.reject(new StoreError("compacted", "status 410"))
+        : waitForAbort(...args);
+    },
+    durationMs: 500,
+  });
+  assert.equal(listCount, 2);
+});
+
+// Guards against changes of a restored store that are applied to objects from
+// before, so that those that the store has lost stay.
+test("a watch that reaches a restored store is replaced by a list", async () => {
+  let epoch = 1;
+  const { view, listCount } = await follow({
+    position: () => ({ epoch, revision: epoch === 1 ? 9 : 4 }),
+    watch(...args) {
+      if (epoch === 2) return waitForAbort(...args);
+      epoch = 2;
+      const changes = [{ object: { ...OBJECT, name: "b" }, removed: false }];
+      return Promise.resolve({ changes, position: { epoch, revision: 10 } });
+    },
+    durationMs: 500,
+  });
+  assert.equal(listCount, 2);
+  assert.deepEqual(view.position, { epoch: 2, revision: 4 });
+  assert.equal(view.get("b"), undefined);
+});
