Apply objects of a restored store whose revision alone differs

A restore now counts as a change of each object with another revision, unless the kind has versions of its own, as targets have: for them a new revision alone would start their cold start anew.

Test: "an object is changed by a restore if only its revision differs" failed before.

--- a/src/core/store/kind_view_test.ts
+++ b/src/core/store/kind_view_test.ts
@@ -177,3 +177,15 @@
   peer.dropMissing(12_000);
   assert.deepEqual(versions(peer), ["main version 9 at 52"]);
 });
+
+// Guards against writes of a status that name the revision from before the
+// restore, which the store refuses.
+test("an object is changed by a restore if only its revision differs", () => {
+  const view = new KindView();
+  view.applyList([object("desk", 53)], at(60), 0);
+  const restored = { ...object("desk", 53), revision: 54 };
+  const { changed } = view.applyList([restored], at(54, 2), 0);
+  assert.deepEqual(changed.map(({ revision }) => revision), [54]);
+  const again = view.applyList([restored], at(54, 3), 0);
+  assert.deepEqual(again.changed, []);
+});
--- a/src/core/store/restored_objects.ts
+++ b/src/core/store/restored_objects.ts
@@ -35,7 +35,7 @@
 /** Result of `mergeRestored`. */
 export interface RestoredObjects {
   readonly objects: Map<string, StoredObject>;
-  /** Objects whose content differs from the one held before. */
+  /** Objects that have another version, content or revision than before. */
   readonly changed: readonly StoredObject[];
   /** Names of the objects that are no longer held. */
   readonly removed: readonly string[];
@@ -65,7 +65,7 @@
     const merged = isKept ? { ...previous, revision } : object;
     objects.set(name, merged);
     if (isKept || revision === UNSTORED_REVISION) kept.add(name);
-    if (previous === undefined || !hasSameContent(merged, previous)) {
+    if (previous === undefined || !isSameForm(merged, previous, options)) {
       changed.push(merged);
     }
   }
@@ -95,6 +95,21 @@
   return false;
 }
 
+/**
+ * Whether two objects are the same for those who apply them. Without a version,
+ * a new revision counts as well, as writes of a status have to name it.
+ */
+function isSameForm(
+  a: StoredObject,
+  b: StoredObject,
+  { contentVersion }: RestoreOptions,
+): boolean {
+  const version = contentVersion(a);
+  return version === undefined
+    ? a.revision === b.revision && hasSameContent(a, b)
+    : JSON.stringify(version) === JSON.stringify(contentVersion(b));
+}
+
 function hasSameContent(a: StoredObject, b: StoredObject): boolean {
   return JSON.stringify([a.specification, a.status]) ===
     JSON.stringify([b.specification, b.status]);
