Accept a restarted host's reports when its clock went back

A host that restarted after its time of day had been set back seemed older than its last process, so the others ignored its reports and considered it dead until its clock had passed the old start.

A report of another process now supersedes the last one if that process has been silent for as long as it takes to consider it dead; reports of zones likewise.

Test: "a process with an earlier start is accepted after a silence" failed before.

--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -41,12 +41,15 @@
   /**
    * Records a report, received directly or forwarded by another host.
    *
-   * @returns Whether the report is newer than the last one of that host.
+   * @returns Whether the report supersedes the last one of that host.
    */
   recordReport(record: HostRecord, nowMs: number): boolean {
     if (record.id === this.#self.id) return false;
     const peer = this.#peers.get(record.id);
-    if (peer !== undefined && !isNewer(record, peer.record)) return false;
+    if (peer !== undefined) {
+      const silenceMs = nowMs - peer.lastReportMs;
+      if (!supersedes(record, peer.record, silenceMs)) return false;
+    }
     this.#peers.set(record.id, { record, lastReportMs: nowMs });
     if (peer?.record.state !== record.state) {
       this.#livePeersUpdatedMs = -Infinity;
@@ -203,7 +206,28 @@
   }
 }
 
-function isNewer(a: HostRecord, b: HostRecord): boolean {
-  return a.startedMs > b.startedMs ||
-    (a.startedMs === b.startedMs && a.sequence > b.sequence);
+/** Fields that order the reports of a host. */
+export interface ReportOrder {
+  /** Unix time of the start of the process in milliseconds. */
+  readonly startedMs: number;
+  /** Number of the report among those of the process. */
+  readonly sequence: number;
+}
+
+/**
+ * Whether a report supersedes the last one. One of another process does so even
+ * with an earlier start if the last process is considered dead, as the time of
+ * day may have gone back.
+ *
+ * @param silenceMs Time since the last report was received.
+ */
+export function supersedes(
+  report: ReportOrder,
+  last: ReportOrder,
+  silenceMs: number,
+): boolean {
+  if (report.startedMs === last.startedMs) {
+    return report.sequence > last.sequence;
+  }
+  return report.startedMs > last.startedMs || silenceMs >= FAILURE_TIMEOUT_MS;
 }
--- a/src/core/membership/membership_test.ts
+++ b/src/core/membership/membership_test.ts
@@ -80,3 +80,21 @@
   assert.ok(ownedTasks.length < tasks.length);
   assert.equal(tasksWhenOnlyEligible.length, tasks.length);
 });
+
+// Guards against a restarted host that stays dead for the others because the
+// time of day went back, so that its process seems older than the last one.
+test("a process with an earlier start is accepted after a silence", () => {
+  const { membership } = createFleet(4);
+  const last = { ...host("b", 0), startedMs: 9_000, sequence: 40 };
+  const restarted = { ...host("b", 0), startedMs: 5_000, sequence: 1 };
+  assert.equal(membership.recordReport(last, 0), true);
+  // A late report of an earlier process, while the last one is alive.
+  assert.equal(membership.recordReport(restarted, 500), false);
+  assert.equal(membership.recordReport(restarted, 2_000), true);
+  assert.deepEqual(
+    membership.livePeers(2_000).map(({ startedMs }) => startedMs),
+    [5_000],
+  );
+  assert.equal(membership.recordReport(last, 2_100), true);
+  assert.equal(membership.recordReport(last, 4_000), false);
+});
--- a/src/node/peer/report_exchange.ts
+++ b/src/node/peer/report_exchange.ts
@@ -6,7 +6,10 @@
  * @module
  */
 import { createSocket, type Socket } from "node:dgram";
-import type { Membership } from "../../core/membership/membership.ts";
+import {
+  type Membership,
+  supersedes,
+} from "../../core/membership/membership.ts";
 import type { HostReport } from "../../core/membership/report.ts";
 import type { HostAddress } from "../../core/membership/types.ts";
 import type { ZoneSummary } from "../../core/membership/zone_summary.ts";
@@ -64,7 +67,10 @@
   readonly #options: ReportExchangeOptions;
   readonly #socket: Socket;
   /** Newest zone report by the id of its author. */
-  readonly #zoneReports = new Map<string, ZoneReport>();
+  readonly #zoneReports = new Map<
+    string,
+    { report: ZoneReport; receivedMs: number }
+  >();
   #timer: NodeJS.Timeout | undefined;
   #lastReportMs = -Infinity;
   #lastZoneReportMs = -Infinity;
@@ -240,20 +246,22 @@
   #receiveZoneReport(zoneReport: ZoneReport): void {
     const { onZoneSummary, membership, nowMs } = this.#options;
     const current = this.#zoneReports.get(zoneReport.authorId);
-    if (current !== undefined && !isNewer(zoneReport, current)) return;
+    const receivedMs = nowMs();
+    if (
+      current !== undefined &&
+      !supersedes(zoneReport, current.report, receivedMs - current.receivedMs)
+    ) return;
     const summary = this.#decode(() => decodeZoneSummary(zoneReport));
     if (summary === undefined) return;
-    this.#zoneReports.set(zoneReport.authorId, zoneReport);
+    this.#zoneReports.set(zoneReport.authorId, {
+      report: zoneReport,
+      receivedMs,
+    });
     onZoneSummary(summary);
-    if (!membership.isDelegate(nowMs())) return;
+    if (!membership.isDelegate(receivedMs)) return;
     this.#sendToAll(
       membership.directPeers(),
       encodeDatagram({ zoneReports: [zoneReport] }),
     );
   }
 }
-
-function isNewer(a: ZoneReport, b: ZoneReport): boolean {
-  return a.startedMs > b.startedMs ||
-    (a.startedMs === b.startedMs && a.sequence > b.sequence);
-}
