Break attempts on targets that send other bytes without end

A target in trouble may send bytes that are no response until its caller closes. An attempt read interim responses without end, and the endless body of a response to another request, until its deadline, so the request was not retried and the host spent its processor time on parsing.

More than 16 interim responses, or more than 1 MiB of responses to other requests, now break the attempt.

Seven other cases (endless lines, headers, trailers, chunk extensions, bodies of failures) were bounded already.

--- a/src/node/target/attempt.ts
+++ b/src/node/target/attempt.ts
@@ -21,6 +21,8 @@
 const MAX_BUFFERED_BYTES = 262_144;
 /** Limit of late responses to earlier requests that an attempt skips. */
 const MAX_SKIPPED_RESPONSES = 3;
+/** Limit of their bodies together. */
+const MAX_SKIPPED_BYTES = 1_048_576;
 
 /** A request as it is sent to a target. */
 export interface OutgoingRequest {
@@ -77,6 +79,7 @@
   #isEnded = false;
   #isSkipping = false;
   #skippedResponses = 0;
+  #skippedBytes = 0;
   #head: ResponseHead | undefined;
   #chunks: Buffer[] = [];
   #receivedBytes = 0;
@@ -163,7 +166,14 @@
   }
 
   #handleBody(chunk: Buffer): void {
-    if (this.#isSkipping || this.#isEnded) return;
+    if (this.#isEnded) return;
+    if (this.#isSkipping) {
+      this.#skippedBytes += chunk.length;
+      if (this.#skippedBytes > MAX_SKIPPED_BYTES) {
+        this.#endAsBroken("too large responses to other requests");
+      }
+      return;
+    }
     this.#receivedBytes += chunk.length;
     if (this.#isStreaming) return this.#forward(chunk);
     this.#chunks.push(chunk);
--- a/src/node/target/attempt_test.ts
+++ b/src/node/target/attempt_test.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { PLATFORM_HEADERS as NAMES } from "../../../platform/names.ts";
+import { waitFor } from "../../testing/processes.ts";
 import { openSnapshots } from "../../testing/snapshot.ts";
 import { monotonicMs } from "../clock.ts";
 import { Attempt, type OutgoingRequest } from "./attempt.ts";
@@ -185,3 +186,67 @@
   assert.equal(result.end.outcome, "unreachable");
   assert.equal(result.mayHaveReachedTarget, false);
 });
+
+/** Pieces that a target sends one after the other until its caller closes. */
+const ENDLESS_PIECES: Record<string, { first: string; piece: string }> = {
+  "a status line": { first: "", piece: "x".repeat(1_000) },
+  "a header line": {
+    first: "HTTP/1.1 200 OK\r\na: ",
+    piece: "x".repeat(1_000),
+  },
+  "headers": { first: "HTTP/1.1 200 OK\r\n", piece: "a: b\r\n".repeat(100) },
+  "interim responses": {
+    first: "",
+    piece: "HTTP/1.1 102 Processing\r\n\r\n".repeat(10),
+  },
+  "a body without a seal": {
+    first: "HTTP/1.1 200 OK\r\n\r\n",
+    piece: "x".repeat(10_000),
+  },
+  "the body of a failure": {
+    first: `HTTP/1.1 500 E\r\n${SEAL}Transfer-Encoding: chunked\r\n\r\n`,
+    piece: "3e8\r\n" + "x".repeat(1_000) + "\r\n",
+  },
+  "a chunk extension": {
+    first: `HTTP/1.1 200 OK\r\n${SEAL}Transfer-Encoding: chunked\r\n\r\n1;`,
+    piece: "x".repeat(1_000),
+  },
+  "trailers": {
+    first: `HTTP/1.1 200 OK\r\n${SEAL}Transfer-Encoding: chunked\r\n\r\n0\r\n`,
+    piece: "a: b\r\n".repeat(100),
+  },
+  "the body of a response to another request": {
+    first: `HTTP/1.1 200 OK\r\n${SEAL}${NAMES.requestId}: r0\r\n\r\n`,
+    piece: "x".repeat(10_000),
+  },
+};
+
+// Guards against an attempt that reads bytes that are no response until its
+// deadline, and against a connection that stays open to a target that sends
+// them without end.
+test("bytes without end that are no response break the attempt", async (t) => {
+  const results: Record<string, string> = {};
+  for (const [name, { first, piece }] of Object.entries(ENDLESS_PIECES)) {
+    let isClosed = false;
+    const { send } = await startTarget(t, (socket) => {
+      socket.on("close", () => isClosed = true);
+      socket.write(first);
+      const writeNext = () => {
+        if (socket.destroyed) return;
+        if (socket.write(piece)) setImmediate(writeNext);
+        else socket.once("drain", writeNext);
+      };
+      writeNext();
+    });
+    const deadline = new Promise<undefined>((resolve) =>
+      setTimeout(() => resolve(undefined), 2_000)
+    );
+    const result = await Promise.race([send(), deadline]);
+    results[name] = result === undefined ? "no end" : formatResult(result);
+    await waitFor(() => isClosed || undefined, {
+      description: `the connection of ${name} is closed`,
+      timeoutMs: 1_000,
+    }).catch(() => results[name] += ", open");
+  }
+  matchSnapshot(t, results);
+});
--- a/src/node/target/response_parser.ts
+++ b/src/node/target/response_parser.ts
@@ -12,6 +12,8 @@
 
 const MAX_HEAD_BYTES = 65_536;
 const MAX_LINE_BYTES = 16_384;
+/** Interim responses before a final one; more of them are no response. */
+const MAX_INTERIM_RESPONSES = 16;
 const LF = 0x0a;
 const CR = 0x0d;
 
@@ -57,6 +59,7 @@
   #statusText = "";
   #minorVersion = 1;
   #rawHeaders: string[] = [];
+  #interimResponses = 0;
   /** Method of the request in flight; responses to HEAD have no body. */
   method = "GET";
 
@@ -198,9 +201,14 @@
     const framing = parseFramingHeaders(this.#rawHeaders);
     if (this.#status < 200) {
       if (this.#status === 101) throw new ResponseError("unexpected upgrade");
+      this.#interimResponses += 1;
+      if (this.#interimResponses > MAX_INTERIM_RESPONSES) {
+        throw new ResponseError("too many interim responses");
+      }
       this.#state = "status";
       return;
     }
+    this.#interimResponses = 0;
     const hasBody = this.method !== "HEAD" && this.#status !== 204 &&
       this.#status !== 304;
     const isUntilClose = hasBody && !framing.isChunked &&
