--- a/src/core/release/releases.ts
+++ b/src/core/release/releases.ts
@@ -17,6 +17,7 @@
   computeRouteShares,
   computeShareAfterEvaluation,
 } from "./share_schedule.ts";
+import { StoppedVersions } from "./stopped_versions.ts";
 import type {
   ReleaseBounds,
   ReleaseEffect,
@@ -81,8 +82,7 @@
   #bounds: () => ReleaseBounds;
   /** Ordered releases by service. */
   #states = new Map<string, ReleaseState>();
-  /** Reasons why versions were stopped, by service and version. */
-  #stopReasons = new Map<string, Map<string, string>>();
+  readonly #stoppedVersions = new StoppedVersions();
   /** Versions that get the traffic outside a release, by service. */
   #baseVersions = new Map<string, ReadonlySet<string>>();
 
@@ -154,22 +154,13 @@
   }
 
   /** Stops a version permanently. Returns false if it was stopped already. */
-  stopVersion({ service, version, reason }: StoppedVersion): boolean {
-    let versions = this.#stopReasons.get(service);
-    if (versions === undefined) {
-      versions = new Map();
-      this.#stopReasons.set(service, versions);
-    }
-    if (versions.has(version)) return false;
-    versions.set(version, reason);
-    return true;
+  stopVersion(stopped: StoppedVersion): boolean {
+    return this.#stoppedVersions.stop(stopped);
   }
 
   /** Returns all stopped versions. */
   getStoppedVersions(): StoppedVersion[] {
-    return [...this.#stopReasons].flatMap(([service, versions]) =>
-      [...versions].map(([version, reason]) => ({ service, version, reason }))
-    );
+    return this.#stoppedVersions.list();
   }
 
   /** Returns the progress of unfinished releases, to be sent to other hosts. */
@@ -268,7 +259,7 @@
         inputs,
       }, nowMs);
     }
-    const reason = this.#stopReasons.get(service)?.get(version);
+    const reason = this.#stoppedVersions.getReason(service, version);
     if (reason !== undefined) {
       return this.#writeOutcome(
         state,
@@ -445,12 +436,13 @@
   #hasEnded({ order, wasCompleted }: ReleaseState): boolean {
     return wasCompleted || order.outcome === "complete" ||
       order.outcome === "rolled_back" ||
-      (this.#stopReasons.get(order.service)?.has(order.version) ?? false);
+      this.#stoppedVersions.getReason(order.service, order.version) !==
+        undefined;
   }
 
   /** Returns the stopped versions and the one under release. */
   #getExcludedVersions(service: string): ReadonlySet<string> {
-    const versions = new Set(this.#stopReasons.get(service)?.keys() ?? []);
+    const versions = new Set(this.#stoppedVersions.ofService(service));
     const state = this.#states.get(service);
     if (state !== undefined) versions.add(state.order.version);
     return versions;
--- a/src/core/request/transition.ts
+++ b/src/core/request/transition.ts
@@ -10,8 +10,11 @@
 import type { AttemptEnd, AttemptOutcome } from "../targets/types.ts";
 import { checkArrival } from "./arrival.ts";
 import type { PipelineDependencies } from "./dependencies.ts";
+import { recordAttemptEnd } from "./attempt_statistics.ts";
 import { provesNotRun } from "./outcomes.ts";
 import type { PipelineState } from "./pipeline.ts";
+import { type AttemptEndedEvent, prepareRetry } from "./retry_decision.ts";
+import { isTargetSilent } from "./silent_target.ts";
 import type {
   CurrentAttempt,
   IncomingRequest,
@@ -22,28 +25,10 @@
   RequestState,
 } from "./types.ts";
 
-type AttemptEndedEvent = Extract<RequestEvent, { type: "attempt_ended" }>;
 type BodyReadyEvent = Extract<RequestEvent, { type: "body_ready" }>;
 
-/**
- * Attempts that a request may make beyond the route's limit, because attempts
- * that reach no target, or the wrong one, do not count against that limit.
- */
-const MAX_UNCOUNTED_ATTEMPTS = 4;
 /** Retry delay that callers are advised after the last target shed load. */
 const SHED_RETRY_AFTER_MS = 60;
-/**
- * Ratio of an attempt's duration, less the expected queue wait, to the expected
- * cold service time above which the attempt counts as bad for the version.
- */
-const SLOW_ATTEMPT_RATIO = 2;
-/** Shortest time without a response after which a connection check starts. */
-const MIN_SILENCE_MS = 600;
-/**
- * Ratio of the time without a response to the expected time until the response
- * above which a connection check starts.
- */
-const SILENCE_EXPECTED_TIME_RATIO = 4;
 
 /** Applies one event to the state and collects its effects. */
 export class PipelineTransition {
@@ -123,7 +108,11 @@
       return this.#removeRequest(request);
     }
     request.hasFailureResponse = outcome === "failed";
-    if (this.#prepareRetry(request, event)) return this.#startAttempt(request);
+    const mayRetry = prepareRetry(request, event, {
+      dependencies: this.#dependencies,
+      nowMs: this.#nowMs,
+    });
+    if (mayRetry) return this.#startAttempt(request);
     this.#endWithRefusal(request, {
       kind: request.mayHaveRun ? "target_failed" : "no_room",
       reason: `the last attempt ended with outcome ${outcome}`,
@@ -255,70 +244,18 @@
     });
   }
 
-  /**
-   * Decides whether the request is sent to another target. A retry takes a
-   * token from the retry budget, except after an attempt that cannot have
-   * reached its target.
-   */
-  #prepareRetry(request: RequestState, event: AttemptEndedEvent): boolean {
-    const { route, triedTargetIds } = request;
-    const { outcome } = event.end;
-    if (!event.canResend || request.deadlineMs <= this.#nowMs) return false;
-    const isKnownNotRun = provesNotRun(outcome, event.mayHaveReachedTarget);
-    if (!isKnownNotRun && !route.idempotent) return false;
-    // Attempts that reached no target or the wrong one do not count against
-    // the route's limit.
-    if (!event.mayHaveReachedTarget || outcome === "misdirected") {
-      request.countedAttempts -= 1;
-    }
-    if (request.countedAttempts >= route.maxAttempts) return false;
-    if (triedTargetIds.length >= route.maxAttempts + MAX_UNCOUNTED_ATTEMPTS) {
-      return false;
-    }
-    return !event.mayHaveReachedTarget ||
-      this.#dependencies.takeRetryToken(request.service, this.#nowMs);
-  }
-
   /**
    * Ends the in-flight attempt and updates the statistics of target, route and
    * version.
    */
   #recordAttemptEnd(request: RequestState, end: AttemptEnd): void {
-    const { currentAttempt, route } = request;
+    const { currentAttempt } = request;
     if (currentAttempt === undefined) return;
     request.currentAttempt = undefined;
-    const { handle, candidate, startedMs, isKnownWarm } = currentAttempt;
-    const { state } = handle;
-    const attemptMs = this.#nowMs - startedMs;
-    const expectedServiceTime = this.#dependencies.estimateServiceTime(route);
-    this.#dependencies.endAttempt(handle, end, this.#nowMs);
-    const isSlow = attemptMs >
-      SLOW_ATTEMPT_RATIO * expectedServiceTime.coldMs + candidate.queueWaitMs;
-    const { outcome } = end;
-    if (outcome === "answered") {
-      const { isWarm, queueWaitMs, roundTripMs } = candidate;
-      const serviceTimeMs = Math.max(1, attemptMs - queueWaitMs - roundTripMs);
-      const expectedServiceTimeMs = isWarm
-        ? expectedServiceTime.warmMs
-        : expectedServiceTime.coldMs;
-      state.recordServiceTimeRatio(
-        serviceTimeMs / expectedServiceTimeMs,
-        this.#nowMs,
-      );
-      // The first request for an object from this host to an assumed holder may
-      // have been cold, which would distort the warm estimate.
-      if (!isWarm || isKnownWarm || request.keyHash === undefined) {
-        this.#dependencies.recordServiceTime(route, serviceTimeMs, {
-          isWarm,
-        });
-      }
-    }
-    // A broken connection points to the target or the network and does not
-    // count against the version.
-    const isBad = outcome === "failed" || isSlow;
-    if (isBad || outcome === "answered") {
-      this.#dependencies.recordVersionResult(request, state, { isBad });
-    }
+    recordAttemptEnd(request, currentAttempt, end, {
+      dependencies: this.#dependencies,
+      nowMs: this.#nowMs,
+    });
   }
 
   #attributeCrash(
@@ -387,15 +324,9 @@
     ) {
       return;
     }
-    const { candidate, startedMs, handle } = currentAttempt;
-    const maxSilenceMs = Math.max(
-      MIN_SILENCE_MS,
-      SILENCE_EXPECTED_TIME_RATIO * candidate.expectedResponseMs,
-    );
-    if (this.#nowMs - startedMs < maxSilenceMs) return;
-    const { health, target } = handle.state;
-    if (health.lastResponseMs >= startedMs) return;
+    if (!isTargetSilent(currentAttempt, this.#nowMs)) return;
     currentAttempt.isCheckStarted = true;
+    const { target } = currentAttempt.handle.state;
     this.effects.push({ type: "check_target", target });
   }
 
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -44,6 +44,7 @@
 import { ReleaseRunner } from "./release_runner.ts";
 import { createRequestDependencies } from "./request_dependencies.ts";
 import { RequestHandler } from "./request_handler.ts";
+import { fetchFromSeeds } from "./seed_fetch.ts";
 import { StoreReplica } from "./store_replica.ts";
 
 /** Time between two ticks of the periodic work. */
@@ -54,8 +55,6 @@
 const RELOAD_INTERVAL_MS = 1_000;
 /** Time limit for requests that arrive while the process exits. */
 const LAST_REQUESTS_TIMEOUT_MS = 100;
-/** Delay before each round of fetches from the seeds. */
-const SEED_FETCH_DELAY_MS = 400;
 
 /** Options of an entry host, which the platform provides. */
 export interface EntryHostOptions {
@@ -323,17 +322,6 @@
       : undefined;
   }
 
-  /** Fetches the first document from seeds while the store is unavailable. */
-  async function fetchFromSeeds(): Promise<void> {
-    while (applier.document === undefined) {
-      await sleep(SEED_FETCH_DELAY_MS);
-      for (const seed of settings.seeds) {
-        if (applier.document !== undefined || !replica.isFailing) break;
-        if (seed !== self.peerAddress) await replica.fetchFrom(seed);
-      }
-    }
-  }
-
   function reload(): void {
     const result = options.settings.reload();
     if (result.type === "changed") {
@@ -373,7 +361,11 @@
   ]);
   const stopFollowing = replica.start();
   registration.register();
-  fetchFromSeeds();
+  fetchFromSeeds({
+    replica,
+    seeds: settings.seeds.filter((seed) => seed !== self.peerAddress),
+    hasDocument: () => applier.document !== undefined,
+  });
   log.event("listening", { callers: addresses.callers });
 
   let stopping: Promise<void> | undefined;
