Name the candidates for senders, and share the order of content versions

The cache of hosts among which senders are chosen is named for what it holds, and content versions are compared in one place. A host that hears of epoch 0, from hosts without a list, before its first response of the store does not take that response for a restore.

--- a/src/core/balance/usable_targets.ts
+++ b/src/core/balance/usable_targets.ts
@@ -23,9 +23,10 @@
    * when unknown.
    */
   readonly coldRatePerS: number;
-  readonly coldStartSenders: () => SenderCandidates;
-  /** Senders to targets that state a limit. */
-  readonly limitSenders: () => SenderCandidates;
+  /** Candidates for the senders to targets in cold start. */
+  readonly coldStartCandidates: () => SenderCandidates;
+  /** Candidates for the senders to targets that state a limit. */
+  readonly limitCandidates: () => SenderCandidates;
 }
 
 /** Returns the targets that may receive a request. */
@@ -81,12 +82,12 @@
 
 function limitDelayMs(
   { hash, statedLimit }: TargetState,
-  { limitSenders }: UsabilityInputs,
+  { limitCandidates }: UsabilityInputs,
   nowMs: number,
 ): number {
   return statedLimit.limitPerS === undefined
     ? 0
-    : statedLimit.delayMs(hash, limitSenders(), nowMs);
+    : statedLimit.delayMs(hash, limitCandidates(), nowMs);
 }
 
 /** Whether a region is one of the home regions; an empty list allows all. */
@@ -105,7 +106,7 @@
 
 function hasColdStartToken(
   state: TargetState,
-  { coldRatePerS, coldStartSenders }: UsabilityInputs,
+  { coldRatePerS, coldStartCandidates }: UsabilityInputs,
   nowMs: number,
 ): boolean {
   // Without a configured rate, a target in cold start is only assumed to be
@@ -114,7 +115,7 @@
   const ratePerS = coldStartRatePerS(
     state.hash,
     coldRatePerS,
-    coldStartSenders(),
+    coldStartCandidates(),
   );
   return ratePerS > 0 && state.coldStartLimit.hasToken(ratePerS, nowMs);
 }
--- a/src/core/membership/senders.ts
+++ b/src/core/membership/candidate_cache.ts
@@ -1,5 +1,6 @@
 /**
- * Hosts among which the senders to a target with a rate limit are chosen.
+ * Cache of the hosts among which the senders to a target with a limited rate are
+ * chosen.
  *
  * @module
  */
@@ -10,34 +11,34 @@
 import type { Membership } from "./membership.ts";
 import type { HostAddress, HostRecord } from "./types.ts";
 
-/** Caches the candidates, which every request reads. */
-export class Senders {
+/** Candidates for the senders, which every request reads. */
+export class CandidateCache {
   readonly #selfId: string;
   readonly #membership: Membership;
   #livePeers: readonly HostRecord[] | undefined;
-  #readyHosts: SenderCandidates;
-  #limitSenders: SenderCandidates;
+  #readyCandidates: SenderCandidates;
+  #limitCandidates: SenderCandidates;
 
   constructor(selfId: string, membership: Membership) {
     this.#selfId = selfId;
     this.#membership = membership;
-    this.#readyHosts = createSenderCandidates(selfId, []);
-    this.#limitSenders = this.#readyHosts;
+    this.#readyCandidates = createSenderCandidates(selfId, []);
+    this.#limitCandidates = this.#readyCandidates;
   }
 
   /** This host and the live hosts that accept requests. */
-  readyHosts(nowMs: number): SenderCandidates {
+  forColdStarts(nowMs: number): SenderCandidates {
     this.#update(nowMs);
-    return this.#readyHosts;
+    return this.#readyCandidates;
   }
 
   /**
    * The same with a quorum. Without one, all known hosts, as those that this
    * host does not hear of may be sending on the other side of a partition.
    */
-  limitSenders(nowMs: number): SenderCandidates {
+  forLimits(nowMs: number): SenderCandidates {
     this.#update(nowMs);
-    return this.#limitSenders;
+    return this.#limitCandidates;
   }
 
   #update(nowMs: number): void {
@@ -45,11 +46,11 @@
     if (livePeers === this.#livePeers) return;
     this.#livePeers = livePeers;
     const readyPeers = livePeers.filter(({ state }) => state === "ready");
-    this.#readyHosts = this.#createCandidates(readyPeers);
+    this.#readyCandidates = this.#createCandidates(readyPeers);
     const peers = this.#membership.peers();
     const hasQuorum = 2 * (livePeers.length + 1) > peers.length;
-    this.#limitSenders = hasQuorum
-      ? this.#readyHosts
+    this.#limitCandidates = hasQuorum
+      ? this.#readyCandidates
       : this.#createCandidates(peers);
   }
 
--- a/src/core/store/restored_objects.ts
+++ b/src/core/store/restored_objects.ts
@@ -8,6 +8,10 @@
  *
  * @module
  */
+import {
+  compareContentVersions,
+  type ContentVersion,
+} from "./content_version.ts";
 import type { StoredObject } from "./types.ts";
 
 /**
@@ -18,13 +22,8 @@
 
 /** How a kind of objects is combined. */
 export interface RestoreOptions {
-  /**
-   * Numbers that grow with each change of an object's content, most significant
-   * first; `undefined` if the content has none.
-   */
-  readonly contentVersion: (
-    object: StoredObject,
-  ) => readonly number[] | undefined;
+  /** Returns the version of an object's content, if it states one. */
+  readonly contentVersion: (object: StoredObject) => ContentVersion | undefined;
   /**
    * Time for which an object that the restored store lacks is kept, in
    * milliseconds.
@@ -88,11 +87,8 @@
 ): boolean {
   const version = contentVersion(object);
   const otherVersion = contentVersion(other);
-  if (version === undefined || otherVersion === undefined) return false;
-  for (const [i, value] of version.entries()) {
-    if (value !== otherVersion[i]) return value < otherVersion[i];
-  }
-  return false;
+  return version !== undefined && otherVersion !== undefined &&
+    compareContentVersions(version, otherVersion) < 0;
 }
 
 /**
@@ -105,9 +101,10 @@
   { contentVersion }: RestoreOptions,
 ): boolean {
   const version = contentVersion(a);
-  return version === undefined
+  const otherVersion = contentVersion(b);
+  return version === undefined || otherVersion === undefined
     ? a.revision === b.revision && hasSameContent(a, b)
-    : JSON.stringify(version) === JSON.stringify(contentVersion(b));
+    : compareContentVersions(version, otherVersion) === 0;
 }
 
 function hasSameContent(a: StoredObject, b: StoredObject): boolean {
--- a/src/core/targets/departed_targets.ts
+++ b/src/core/targets/departed_targets.ts
@@ -10,6 +10,11 @@
  * @module
  */
 
+import {
+  compareContentVersions,
+  type ContentVersion,
+} from "../store/content_version.ts";
+
 /** Departures that are remembered; far more than happen between two copies. */
 const MAX_DEPARTURES = 1_024;
 /**
@@ -18,9 +23,6 @@
  */
 const IGNORE_MS = 6_000;
 
-/** Numbers that grow with each statement of a target. */
-type ContentVersion = readonly number[];
-
 interface Departure {
   readonly version: ContentVersion;
   /** Epoch of the store in which the target left. */
@@ -53,7 +55,8 @@
   ): boolean {
     const departure = this.#departures.get(id);
     if (departure === undefined) return true;
-    if (epoch <= departure.epoch || isNewer(version, departure.version)) {
+    const isNewer = compareContentVersions(version, departure.version) > 0;
+    if (epoch <= departure.epoch || isNewer) {
       this.#departures.delete(id);
       return true;
     }
@@ -76,10 +79,3 @@
     return ids;
   }
 }
-
-function isNewer(version: ContentVersion, other: ContentVersion): boolean {
-  for (const [i, value] of version.entries()) {
-    if (value !== other[i]) return value > other[i];
-  }
-  return false;
-}
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -6,7 +6,7 @@
  */
 import { Quotas } from "../../core/limits/quotas.ts";
 import { Membership } from "../../core/membership/membership.ts";
-import { Senders } from "../../core/membership/senders.ts";
+import { CandidateCache } from "../../core/membership/candidate_cache.ts";
 import type { HostState } from "../../core/membership/types.ts";
 import { Releases } from "../../core/release/releases.ts";
 import { VersionCounts } from "../../core/release/version_counts.ts";
@@ -131,7 +131,7 @@
     excessFraction: settings.bounds.quotaExcess,
     slackRequests: settings.bounds.quotaSlack,
   }, { startsFull: settings.firstStart, nowMs: nowMs() });
-  const senders = new Senders(host.id, membership);
+  const senderCandidates = new CandidateCache(host.id, membership);
   const roundTrips = new RoundTripTimes(host);
   const gracefulStop = new GracefulStop(() =>
     options.settings.current.bounds.graceMs
@@ -208,8 +208,8 @@
     random,
     findHostRefusal,
     evacuatedZones: () => applier.evacuatedZones,
-    coldStartSenders: () => senders.readyHosts(nowMs()),
-    limitSenders: () => senders.limitSenders(nowMs()),
+    coldStartCandidates: () => senderCandidates.forColdStarts(nowMs()),
+    limitCandidates: () => senderCandidates.forLimits(nowMs()),
     distanceCosts: () => ({
       ...options.settings.current.distance,
       regionRoundTripMs: roundTrips.extraRegionMs,
--- a/src/node/entry/object_applier.ts
+++ b/src/node/entry/object_applier.ts
@@ -7,6 +7,7 @@
 import type { Document } from "../../core/document/document.ts";
 import type { Membership } from "../../core/membership/membership.ts";
 import type { Releases } from "../../core/release/releases.ts";
+import type { ContentVersion } from "../../core/store/content_version.ts";
 import type { KindView, ViewChanges } from "../../core/store/kind_view.ts";
 import type { StoreAvailability } from "../../core/store/store_availability.ts";
 import type { ObjectKind, StoredObject } from "../../core/store/types.ts";
@@ -54,10 +55,7 @@
   readonly #lapsedRegistrations = new LapsedRegistrations();
   readonly #departedTargets = new DepartedTargets();
   /** Versions of the registrations that were applied last, by target. */
-  readonly #targetVersions = new Map<
-    string,
-    readonly number[] | undefined
-  >();
+  readonly #targetVersions = new Map<string, ContentVersion | undefined>();
   #evacuatedZones: ReadonlySet<string> = new Set();
   #document: Document | undefined;
 
--- a/src/node/entry/request_dependencies.ts
+++ b/src/node/entry/request_dependencies.ts
@@ -54,8 +54,8 @@
   /** Returns why this host refuses all requests; `undefined` if it does not. */
   readonly findHostRefusal: (nowMs: number) => RefusalReason | undefined;
   readonly evacuatedZones: () => ReadonlySet<string>;
-  readonly coldStartSenders: () => SenderCandidates;
-  readonly limitSenders: () => SenderCandidates;
+  readonly coldStartCandidates: () => SenderCandidates;
+  readonly limitCandidates: () => SenderCandidates;
   readonly distanceCosts: () => DistanceCosts;
   readonly retryBounds: () => RetryBounds;
   /** Number of hosts that share the retry slack, including this one. */
@@ -122,8 +122,8 @@
       versionRule,
       evacuatedZones: options.evacuatedZones(),
       coldRatePerS: servicesById.get(service)?.coldRatePerS ?? 0,
-      coldStartSenders: options.coldStartSenders,
-      limitSenders: options.limitSenders,
+      coldStartCandidates: options.coldStartCandidates,
+      limitCandidates: options.limitCandidates,
     };
   }
 
--- a/src/node/entry/store_replica.ts
+++ b/src/node/entry/store_replica.ts
@@ -6,9 +6,10 @@
  *
  * @module
  */
+import type { ContentVersion } from "../../core/store/content_version.ts";
 import { KindView, type ViewChanges } from "../../core/store/kind_view.ts";
 import { LagDetector } from "../../core/store/lag_detector.ts";
-import type { StorePosition } from "../../core/store/position.ts";
+import { NO_POSITION, type StorePosition } from "../../core/store/position.ts";
 import {
   combineStoreReports,
   createStoreReport,
@@ -81,7 +82,7 @@
   readonly contentVersion: (
     kind: ObjectKind,
     object: StoredObject,
-  ) => readonly number[] | undefined;
+  ) => ContentVersion | undefined;
   /** Called after objects of a kind have changed. */
   readonly onChanges: (kind: ObjectKind, changes: ViewChanges) => void;
   /** Forwards changes to the other hosts. */
@@ -99,8 +100,8 @@
   #availability: StoreAvailability;
   #isFetching = false;
   #lastProbeMs = -Infinity;
-  /** Newest epoch of the store that this host knows; -1 before the first. */
-  #epoch = -1;
+  /** Newest epoch of the store that this host knows. */
+  #epoch = NO_POSITION.epoch;
   /** Time at which this host learned of it, if it is not the first one. */
   #restoredMs = -Infinity;
 
@@ -290,7 +291,8 @@
     const previous = this.#epoch;
     if (epoch <= previous) return;
     this.#epoch = epoch;
-    if (previous < 0) return;
+    // Before its first response, a host knows epoch 0 from hosts without lists.
+    if (previous <= NO_POSITION.epoch) return;
     const { log, nowMs } = this.#options;
     log.warn("store_restored", { epoch, before: previous });
     this.#restoredMs = nowMs();
--- a/src/node/store/object_codec.ts
+++ b/src/node/store/object_codec.ts
@@ -7,6 +7,7 @@
 import type { Document } from "../../core/document/document.ts";
 import type { HostAddress } from "../../core/membership/types.ts";
 import type { ReleaseOrder } from "../../core/release/types.ts";
+import type { ContentVersion } from "../../core/store/content_version.ts";
 import type { ObjectKind, StoredObject } from "../../core/store/types.ts";
 import type { Registration } from "../../core/targets/types.ts";
 
@@ -21,13 +22,13 @@
   /** Name of the object that holds the configuration document. */
   readonly documentName: string;
   /**
-   * Returns numbers that grow with each change of an object's content, most
-   * significant first; `undefined` if the content has none or is invalid.
+   * Returns the version of an object's content; `undefined` if the content has
+   * none or is invalid.
    */
   contentVersion(
     kind: ObjectKind,
     object: StoredObject,
-  ): readonly number[] | undefined;
+  ): ContentVersion | undefined;
   decodeDocument(
     specification: unknown,
   ): { document: Document } | { problems: string[] };
