Take a later document from peers when the store has lost it

A host that starts after a restore of the store, before the operator has written the newest document again, listed that of the copy: it refused callers on routes that had been confirmed, and accepted revoked keys, while its peers applied the newest document at the same position of the store.

Hosts now report the version of the document that they apply.

--- a/src/core/membership/report.ts
+++ b/src/core/membership/report.ts
@@ -27,6 +27,8 @@
   readonly record: HostRecord;
   /** Position of the newest change that the host holds, by kind. */
   readonly positions: ReadonlyMap<ObjectKind, StorePosition>;
+  /** Version of the document that the host applies; 0 before the first one. */
+  readonly documentVersion: number;
   /** Demand by organisation id. */
   readonly demands: ReadonlyMap<string, Demand>;
   readonly counts: readonly VersionCount[];
--- a/src/core/membership/zone_summary.ts
+++ b/src/core/membership/zone_summary.ts
@@ -33,6 +33,8 @@
   readonly hosts: readonly ZoneHost[];
   /** Position of the newest change that the author holds, by kind. */
   readonly positions: ReadonlyMap<ObjectKind, StorePosition>;
+  /** Version of the document that the author applies; 0 before the first. */
+  readonly documentVersion: number;
   /** Demand by organisation id, summed over the hosts. */
   readonly demands: ReadonlyMap<string, Demand>;
   /** Responses by version and route, summed over all processes of the zone. */
@@ -76,6 +78,7 @@
       store: store.watches ? store : undefined,
     })),
     positions: ownReport.positions,
+    documentVersion: ownReport.documentVersion,
     demands,
     counts,
     // The author has already merged the stopped versions of its peers.
--- a/src/core/store/kind_view.ts
+++ b/src/core/store/kind_view.ts
@@ -146,6 +146,24 @@
     return this.applyChanges([...removals, ...puts], position);
   }
 
+  /**
+   * Takes over objects of a peer that are newer than those held, because the
+   * store has lost them. They are kept until the store holds them again.
+   */
+  takeNewerContent(objects: readonly StoredObject[]): ViewChanges {
+    const changed: StoredObject[] = [];
+    for (const object of objects) {
+      const current = this.#objects.get(object.name);
+      if (current === undefined) continue;
+      if (!isOlderContent(current, object, this.#restoreOptions)) continue;
+      const taken = { ...object, revision: current.revision };
+      this.#objects.set(object.name, taken);
+      this.#keptNames.add(object.name);
+      changed.push(taken);
+    }
+    return { changed, removed: [] };
+  }
+
   /**
    * Removes the objects that a restored store lacked and that were not written
    * again in time. Called several times per second.
--- a/src/core/store/kind_view_test.ts
+++ b/src/core/store/kind_view_test.ts
@@ -189,3 +189,19 @@
   const again = view.applyList([restored], at(54, 3), 0);
   assert.deepEqual(again.changed, []);
 });
+
+// Guards against a document of a peer that is dropped because the store has the
+// same position at both hosts, and against an older one that is taken over.
+test("newer content is taken over from a peer and kept", () => {
+  const view = new KindView(OPERATOR_KIND);
+  view.applyList([versioned("main", 52, 4)], at(52, 2), 0);
+  const older = view.takeNewerContent([versioned("main", 51, 3)]);
+  assert.deepEqual(older.changed, []);
+  const newer = view.takeNewerContent([versioned("main", 54, 9)]);
+  assert.equal(newer.changed.length, 1);
+  view.applyChanges(
+    [{ object: versioned("main", 53, 6), removed: false }],
+    at(53, 2),
+  );
+  assert.deepEqual(versions(view), ["main version 9 at 53"]);
+});
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -154,6 +154,7 @@
     random,
     log,
     contentVersion: (kind, object) => codec.contentVersion(kind, object),
+    documentVersion: () => applier.document?.version ?? 0,
     onChanges(kind, changes) {
       applier.apply(kind, changes);
       if (kind !== "targets") return;
@@ -193,6 +194,7 @@
     counts,
     releases,
     replica: () => replica,
+    documentVersion: () => applier.document?.version ?? 0,
     log,
     nowMs,
     onCrashReport: (crash) =>
--- a/src/node/entry/fleet_reports.ts
+++ b/src/node/entry/fleet_reports.ts
@@ -47,6 +47,8 @@
   readonly counts: VersionCounts;
   readonly releases: Releases;
   readonly replica: () => StoreReplica;
+  /** Version of the applied document; 0 before the first one. */
+  readonly documentVersion: () => number;
   readonly log: Log;
   readonly nowMs: () => number;
   /** Called when another host has reported a crash of a target. */
@@ -87,6 +89,7 @@
     return {
       record: { ...self, startedMs, sequence: this.#sequence, state: state() },
       positions: replica().changedPositions(),
+      documentVersion: this.#options.documentVersion(),
       store: replica().createStoreReport(),
       demands: quotas.reportDemands(atMs),
       counts: counts.getLocalCounts(releases.getServicesInRelease()),
@@ -132,7 +135,7 @@
   /** Applies the report of another host. An outdated one is ignored. */
   applyReport(report: HostReport): void {
     const { membership, quotas, counts, releases, nowMs, self } = this.#options;
-    const { record, positions, store } = report;
+    const { record, positions, documentVersion, store } = report;
     const { id, peerAddress, startedMs, availabilityZone } = record;
     if (!membership.recordReport(record, nowMs())) return;
     this.#detectNewPeer(id, record.state);
@@ -141,6 +144,7 @@
     this.#peerStatuses.set(id, {
       peerAddress,
       positions,
+      documentVersion,
       store,
       receivedMs: atMs,
     });
@@ -163,10 +167,12 @@
       if (!membership.recordReport(record, atMs)) continue;
       const { id, peerAddress } = record;
       this.#detectNewPeer(id, record.state);
-      const positions = id === authorId ? summary.positions : new Map();
+      const isAuthor = id === authorId;
+      const positions = isAuthor ? summary.positions : new Map();
       this.#peerStatuses.set(id, {
         peerAddress,
         positions,
+        documentVersion: isAuthor ? summary.documentVersion : 0,
         store,
         receivedMs: atMs,
       });
--- a/src/node/entry/store_replica.ts
+++ b/src/node/entry/store_replica.ts
@@ -9,7 +9,12 @@
 import type { ContentVersion } from "../../core/store/content_version.ts";
 import { KindView, type ViewChanges } from "../../core/store/kind_view.ts";
 import { LagDetector } from "../../core/store/lag_detector.ts";
-import { NO_POSITION, type StorePosition } from "../../core/store/position.ts";
+import { DocumentLag } from "../../core/store/document_lag.ts";
+import {
+  isLater,
+  NO_POSITION,
+  type StorePosition,
+} from "../../core/store/position.ts";
 import {
   combineStoreReports,
   createStoreReport,
@@ -67,6 +72,8 @@
   readonly peerAddress: string;
   /** Position of the newest change that the host holds, by kind. */
   readonly positions: ReadonlyMap<ObjectKind, StorePosition>;
+  /** Version of the document that the host applies; 0 before the first one. */
+  readonly documentVersion: number;
   /** Availability of the store as the host observes it. */
   readonly store: StoreReport;
   readonly receivedMs: number;
@@ -83,6 +90,8 @@
     kind: ObjectKind,
     object: StoredObject,
   ) => ContentVersion | undefined;
+  /** Version of the document that this host applies; 0 before the first one. */
+  readonly documentVersion: () => number;
   /** Called after objects of a kind have changed. */
   readonly onChanges: (kind: ObjectKind, changes: ViewChanges) => void;
   /** Forwards changes to the other hosts. */
@@ -95,6 +104,7 @@
   readonly #views = new Map<ObjectKind, KindView>();
   readonly #followers = new Map<ObjectKind, KindFollower>();
   readonly #lagDetector = new LagDetector();
+  readonly #documentLag: DocumentLag;
   readonly #health = new StoreHealth();
   readonly #election: WatcherElection;
   #availability: StoreAvailability;
@@ -109,6 +119,7 @@
     this.#options = options;
     const { store, random, nowMs, log } = options;
     this.#election = new WatcherElection(nowMs());
+    this.#documentLag = new DocumentLag(nowMs());
     this.#availability = combineStoreReports(
       this.createStoreReport(),
       [],
@@ -250,13 +261,22 @@
     return changes.changed.length + changes.removed.length > 0;
   }
 
-  /** Fetches the changes that a peer holds beyond the views of this host. */
-  async fetchFrom(peerAddress: string): Promise<void> {
+  /**
+   * Fetches the changes that a peer holds beyond the views of this host.
+   *
+   * @param options `wholeDocument`: also takes over a later version of the
+   * document at the same position. Default: false.
+   */
+  async fetchFrom(
+    peerAddress: string,
+    { wholeDocument = false }: { wholeDocument?: boolean } = {},
+  ): Promise<void> {
     if (this.#isFetching) return;
     this.#isFetching = true;
     const { log, nowMs } = this.#options;
     try {
       const ownPositions = this.#positions();
+      if (wholeDocument) ownPositions.set("document", NO_POSITION);
       const deltas = await fetchFromPeer(
         peerAddress,
         ownPositions,
@@ -264,7 +284,11 @@
       );
       for (const [kind, delta] of deltas) {
         if (delta.position.revision < 0) continue;
-        const changes = this.view(kind).applyDelta(delta, nowMs());
+        const view = this.view(kind);
+        const changes = wholeDocument && kind === "document" &&
+            !isLater(delta.position, view.position)
+          ? view.takeNewerContent(delta.objects)
+          : view.applyDelta(delta, nowMs());
         log.event("objects_fetched", {
           from: peerAddress,
           kind,
@@ -334,6 +358,13 @@
         this.#followers.get(effect.kind)?.catchUp();
       } else this.fetchFrom(effect.peerAddress);
     }
+    const documentPeer = this.#documentLag.tick(
+      this.#options.documentVersion(),
+      peers,
+      nowMs(),
+    );
+    if (documentPeer === undefined) return;
+    this.fetchFrom(documentPeer, { wholeDocument: true });
   }
 
   async #probe(): Promise<void> {
--- a/src/node/peer/report_codec_test.ts
+++ b/src/node/peer/report_codec_test.ts
@@ -17,6 +17,7 @@
       state: "ready",
     },
     positions: new Map([["targets", { epoch: 3, revision: 40 + n }]]),
+    documentVersion: 7,
     demands: new Map([["drivers", { requestsPerS: 1.5, admitted: 4 }]]),
     counts: [],
     stopped: [{ service: "desk", version: "v2", reason: "bad" }],
