Keep a stated limit when a failure of its target does not name it

Any response of a target without a limit ended the limit, also a failure or a refusal. Should a target in need omit the header there, all hosts would send without a limit until the next successful response. Only an answered request without the header ends a limit now; failures and refusals that name one are still taken into account.

Test: "only a target's own responses state a limit or its end" failed before (a failure ended the limit).

--- a/src/core/targets/target_table.ts
+++ b/src/core/targets/target_table.ts
@@ -9,12 +9,7 @@
 import { LoadEstimate } from "./load_estimate.ts";
 import { StatedLimit } from "./stated_limit.ts";
 import { TargetHealth } from "./target_health.ts";
-import type {
-  AttemptEnd,
-  AttemptOutcome,
-  Registration,
-  Target,
-} from "./types.ts";
+import type { AttemptEnd, Registration, Target } from "./types.ts";
 import { WarmKeys } from "./warm_keys.ts";
 
 /** EWMA weight of one response in the service time ratio. */
@@ -164,7 +159,7 @@
     state.load.inFlightAttempts -= 1;
     state.health.recordOutcome(end.outcome, nowMs);
     if (end.load !== undefined) state.load.recordReport(end.load, nowMs);
-    if (isFromTarget(end.outcome)) {
+    if (statesLimit(end)) {
       state.statedLimit.recordResponse(end.limitPerS, nowMs);
     }
     if (end.coldForMs !== undefined && end.coldForMs > 0) {
@@ -176,9 +171,15 @@
   }
 }
 
-/** Whether an attempt ended with a response of its target. */
-function isFromTarget(outcome: AttemptOutcome): boolean {
-  return outcome === "answered" || outcome === "failed" || outcome === "shed";
+/**
+ * Whether an attempt ended with a response of its target that states a limit or
+ * its end. A failure without a limit states neither, as a target in need may
+ * omit it there.
+ */
+function statesLimit({ outcome, limitPerS }: AttemptEnd): boolean {
+  if (outcome === "answered") return true;
+  return limitPerS !== undefined &&
+    (outcome === "failed" || outcome === "shed");
 }
 
 function isSameInstance(a: Target, b: Target): boolean {
--- /dev/null
+++ b/src/core/targets/target_table_test.ts
@@ -0,0 +1,29 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { sampleRegistration } from "../../testing/samples.ts";
+import { TargetTable } from "./target_table.ts";
+import type { AttemptEnd } from "./types.ts";
+
+// Guards against a limit that ends because of a failure, or of the response of
+// another target at the address, and against limits of such responses.
+test("only a target's own responses state a limit or its end", () => {
+  const targets = new TargetTable();
+  targets.put(sampleRegistration(), 0);
+  const [state] = targets.ofService("stockdesk");
+  const limitAfter = (end: AttemptEnd) => {
+    targets.endAttempt(targets.beginAttempt(state, undefined, 0), end, 0);
+    return state.statedLimit.limitPerS;
+  };
+  const status = 0;
+  assert.equal(
+    limitAfter({ outcome: "misdirected", status, limitPerS: 9 }),
+    undefined,
+  );
+  assert.equal(limitAfter({ outcome: "shed", status, limitPerS: 4 }), 4);
+  assert.equal(limitAfter({ outcome: "failed", status }), 4);
+  assert.equal(limitAfter({ outcome: "shed", status }), 4);
+  assert.equal(limitAfter({ outcome: "broken", status }), 4);
+  assert.equal(limitAfter({ outcome: "misdirected", status }), 4);
+  assert.equal(limitAfter({ outcome: "failed", status, limitPerS: 3 }), 3);
+  assert.equal(limitAfter({ outcome: "answered", status: 200 }), undefined);
+});
