--- a/src/node/entry/store_replica.ts
+++ b/src/node/entry/store_replica.ts
@@ -35,38 +35,13 @@
 import { type FollowMode, KindFollower } from "../store/kind_follower.ts";
 import { type ObjectStore, StoreError } from "../store/object_store.ts";
 import type { Log } from "../telemetry/log.ts";
+import { KEEP_MISSING_MS, NON_WATCHER_MODES } from "./replica_policies.ts";
 
 /** Time limit for the response of a peer. */
 const FETCH_TIMEOUT_MS = 800;
 /** Time between two probes of the store by a host that watches it. */
 const PROBE_INTERVAL_MS = 1_000;
 
-/**
- * Source of the updates of each kind on a host that is not a watcher.
- * Every host watches the document, which is too large to be forwarded. Hosts
- * are only listed, as a host that joins sends reports of its own.
- */
-const NON_WATCHER_MODES: Readonly<Record<ObjectKind, FollowMode>> = {
-  document: "watch",
-  targets: "peers",
-  releases: "peers",
-  evacuations: "peers",
-  hosts: "list",
-};
-
-/**
- * Time for which objects that a restored store lacks are kept, by kind. Their
- * author, the operator, writes them again soon. Targets register again within
- * REREGISTRATION_WINDOW_MS, and hosts report to each other.
- */
-const KEEP_MISSING_MS: Readonly<Record<ObjectKind, number>> = {
-  document: Infinity,
-  targets: 0,
-  releases: 10_000,
-  evacuations: 10_000,
-  hosts: 0,
-};
-
 /** State of another host's replica and its connection to the store. */
 export interface PeerStatus {
   readonly peerAddress: string;
