--- a/src/core/limits/quotas_test.ts
+++ b/src/core/limits/quotas_test.ts
@@ -23,8 +23,8 @@
   readonly hosts: number;
   /** Rate of the organisation, which is also its burst. */
   readonly ratePerS: number;
-  /** Time at which all hosts lose their state; never if absent. */
-  readonly restartMs?: number;
+  /** Times at which all hosts lose their state; never if absent. */
+  readonly restartsMs?: readonly number[];
   /**
    * Number of zones that the hosts are divided over. Hosts of other zones are
    * reported in sums, which are older. Default: 1, all hosts report directly.
@@ -63,7 +63,7 @@
   const admittedMs: number[] = [];
   let refused = 0;
   for (let nowMs = 0; nowMs < 30_000; nowMs += 10) {
-    if (nowMs === scenario.restartMs) quotas = startHosts(nowMs);
+    if (scenario.restartsMs?.includes(nowMs)) quotas = startHosts(nowMs);
     if (nowMs % 100 === 0) quotas.forEach((host) => host.update(nowMs));
     if (nowMs % REPORT_INTERVAL_MS === 0) {
       const reports = quotas.map((host) => host.reportDemands(nowMs));
@@ -162,14 +162,21 @@
       ratePerS: 90,
       requestsPerS: () => 600,
       hostFraction: evenly(9),
-      restartMs: 13_000,
+      restartsMs: [13_000],
     },
     "all hosts restart after a sudden rise": {
       hosts: 9,
       ratePerS: 90,
       requestsPerS: (nowMs) => nowMs > 12_000 ? 600 : 60,
       hostFraction: evenly(9),
-      restartMs: 13_000,
+      restartsMs: [13_000],
+    },
+    "all hosts restart three times within a window": {
+      hosts: 3,
+      ratePerS: 30,
+      requestsPerS: () => 200,
+      hostFraction: evenly(3),
+      restartsMs: [13_000, 14_500, 16_000],
     },
     "two halves without reports of each other": {
       hosts: 12,
--- a/src/testing/processes.ts
+++ b/src/testing/processes.ts
@@ -116,19 +116,56 @@
  */
 const FIRST_PORT = 12_000;
 const LAST_PORT = 32_000;
+/**
+ * Test files run in processes of their own at the same time. Each one claims
+ * whole blocks of ports by listening on the first port of a block until it
+ * ends, so that two of them never start programs on the same ports.
+ */
+const PORTS_PER_BLOCK = 200;
 
-/** Returns ports on the loopback address that are free at present. */
+/** Ports of the claimed blocks that have not been returned yet. */
+const claimedPorts: number[] = [];
+
+/**
+ * Returns ports on the loopback address that are free at present and that no
+ * other process gets from this function. Each call returns other ports.
+ */
 export async function findFreePorts(count: number): Promise<number[]> {
   const ports: number[] = [];
-  let port = FIRST_PORT +
-    Math.floor(Math.random() * (LAST_PORT - FIRST_PORT - 2 * count));
   while (ports.length < count) {
-    if (await isPortFree(port)) ports.push(port);
-    port += 1;
+    const port = claimedPorts.shift();
+    if (port === undefined) await claimPortBlock();
+    else if (await isPortFree(port)) ports.push(port);
   }
   return ports;
 }
 
+/** Claims a block of ports until this process ends. */
+async function claimPortBlock(): Promise<void> {
+  const blockCount = (LAST_PORT - FIRST_PORT) / PORTS_PER_BLOCK;
+  const firstBlock = Math.floor(Math.random() * blockCount);
+  for (let i = 0; i < blockCount; i++) {
+    const block = (firstBlock + i) % blockCount;
+    const claimPort = FIRST_PORT + block * PORTS_PER_BLOCK;
+    if (!await claimPortOf(claimPort)) continue;
+    for (let n = 1; n < PORTS_PER_BLOCK; n++) claimedPorts.push(claimPort + n);
+    return;
+  }
+  throw new Error("all blocks of ports are claimed by other processes");
+}
+
+function claimPortOf(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => {
+      // The claim does not keep the process running.
+      server.unref();
+      resolve(true);
+    });
+  });
+}
+
 function isPortFree(port: number): Promise<boolean> {
   return new Promise((resolve) => {
     const server = createServer();
