Report what keeps a test file running at its time limit

soak_test ran on after its test had passed, until the runner ended it after 300 s, with no sign of the cause.

--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -3,7 +3,7 @@
 //
 // Usage: node scripts/run_tests.mjs [FILTER]. Runs only test files whose path
 // contains FILTER. TEST_CONCURRENCY sets how many files run at a time.
-import { existsSync, readdirSync, readFileSync } from "node:fs";
+import { existsSync, readdirSync, readFileSync, rmSync } from "node:fs";
 import { join, relative } from "node:path";
 import { run } from "node:test";
 import { spec } from "node:test/reporters";
@@ -28,6 +28,15 @@
     : [],
 );
 
+const reporter = new URL("report_active_resources.mjs", import.meta.url);
+process.env.NODE_OPTIONS = `${
+  process.env.NODE_OPTIONS ?? ""
+} --import=${reporter}`;
+
+const activeResourcesFile = join(dist, "active_resources.log");
+rmSync(activeResourcesFile, { force: true });
+process.env.ACTIVE_RESOURCES_FILE = activeResourcesFile;
+
 const failedTests = [];
 let passedCount = 0;
 const stream = run({ files, concurrency, timeout: 300_000 });
@@ -47,6 +56,9 @@
     !knownFailingTests.has(name)
   );
   setTimeout(() => {
+    if (existsSync(activeResourcesFile)) {
+      console.log(readFileSync(activeResourcesFile, "utf8"));
+    }
     for (const name of knownFailures) console.log(`known red: ${name}`);
     for (const name of unexpectedFailures) console.log(`failed: ${name}`);
     console.log(`${passedCount} passed, ${unexpectedFailures.length} failed`);
