Answer every form of request, and survive odd objects and errors

Hosts create an id, send, log and return it; an empty or repeated id is a bad request. - /open/../look/1 and its encoded forms matched the open route. Paths with a segment of dots are refused. - The absolute form got 404 and CONNECT no response. - Headers that never end were held until the check of Node.js, 30 s apart. - An entry of the store nested 100,000 levels deep overflowed the stack, and a port above 65,535 made the socket throw; both ended the process. Such entries name no target and are logged. - An error in the handling of one request, datagram or tick ended the process, and a peer with an invalid port ended the reports to all peers after it.

--- a/src/core/crashes/crash_attribution.ts
+++ b/src/core/crashes/crash_attribution.ts
@@ -126,20 +126,6 @@
     return this.#attributeCrash(targetId, brokenAttempts, nowMs);
   }
 
-  /**
-   * Returns the last target that crashed with a fingerprint in flight, or
-   * `undefined` if the fingerprint is not suspected.
-   */
-  lastCrashedTarget(fingerprint: string, nowMs: number): string | undefined {
-    if (this.#suspicions.size === 0) return undefined;
-    const suspicion = this.#suspicions.get(fingerprint);
-    if (
-      suspicion === undefined ||
-      nowMs - suspicion.lastCrashMs > SUSPICION_TTL_MS
-    ) return;
-    return [...suspicion.scoreByTarget.keys()].at(-1);
-  }
-
   /** Returns the suspicion score of a fingerprint over all targets. */
   suspicionScore(fingerprint: string): number {
     const scores = this.#suspicions.get(fingerprint)?.scoreByTarget.values() ??
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -32,6 +32,12 @@
     retryAfterMs: 0,
     message: "The request is malformed. Correct it before sending it again.",
   },
+  method_unsupported: {
+    status: 501,
+    ran: "no",
+    retryAfterMs: 0,
+    message: "The method is not supported. Use another one.",
+  },
   header_too_large: {
     status: 431,
     ran: "no",
--- a/src/core/limits/quotas.ts
+++ b/src/core/limits/quotas.ts
@@ -223,6 +223,12 @@
         },
       ]),
     );
+    const zones = new Set(
+      peers.map(({ availabilityZone }) => availabilityZone),
+    );
+    for (const zone of this.#zoneReports.keys()) {
+      if (!zones.has(zone)) this.#zoneReports.delete(zone);
+    }
     // With this time no zone report has expired; `update` checks their ages.
     this.#reports = this.#selectReports(-Infinity);
   }
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -155,13 +155,19 @@
     return peers.filter((peer) => peer.availabilityZone === availabilityZone);
   }
 
-  /** Whether this host is the delegate of its zone. */
-  isDelegate(nowMs: number): boolean {
+  /**
+   * Whether this host is the delegate of its zone. A leaving host is not, unless
+   * no other host of the zone can be.
+   */
+  isDelegate(
+    nowMs: number,
+    { isLeaving = false }: { isLeaving?: boolean } = {},
+  ): boolean {
     if (!this.usesDelegates) return false;
     const { availabilityZone, id } = this.#self;
-    return this.#reachableIdsIn(availabilityZone, nowMs).every((peerId) =>
-      id < peerId
-    );
+    const peerIds = this.#reachableIdsIn(availabilityZone, nowMs);
+    if (isLeaving) return peerIds.length === 0;
+    return peerIds.every((peerId) => id < peerId);
   }
 
   /**
--- a/src/core/membership/membership_test.ts
+++ b/src/core/membership/membership_test.ts
@@ -48,6 +48,16 @@
   assert.equal(membership.isDelegate(800), true);
 });
 
+// Guards against a host that stops and keeps summarizing its zone beside the
+// next delegate, to which the other zones already send.
+test("a leaving host is the delegate only if it is alone", () => {
+  const { membership } = createFleet(10);
+  assert.equal(membership.isDelegate(0, { isLeaving: true }), true);
+  membership.recordReport(host("a", 2), 0);
+  assert.equal(membership.isDelegate(100), true);
+  assert.equal(membership.isDelegate(100, { isLeaving: true }), false);
+});
+
 // Guards against two zones that never receive reports of each other because
 // the first host of each is dead.
 test("hosts of a zone without any reports are tried in turn", () => {
--- a/src/core/release/releases.ts
+++ b/src/core/release/releases.ts
@@ -230,6 +230,7 @@
 
   /** Evaluates all releases. Called a few times a second. */
   tick(inputs: ReleaseInputs, nowMs: number): ReleaseEffect[] {
+    this.#counts.retainServices(this.getServicesInRelease());
     this.#counts.update(nowMs);
     const effects: ReleaseEffect[] = [];
     for (const state of this.#states.values()) {
@@ -293,11 +294,9 @@
       // The request rates of the routes are known only with a quorum.
       if (inputs.hasQuorum) this.#setRouteShares(state);
       else state.routeShares = new Map();
-      const isDue = mayRaiseShare &&
-        seenForMs >= computeEvaluationMs(durationMs);
-      const holdReason = isDue
-        ? this.#findHoldReason(order)
-        : "the evaluation has not ended";
+      const holdReason = seenForMs < computeEvaluationMs(durationMs)
+        ? "the evaluation has not ended"
+        : this.#findHoldReason(order, inputs);
       if (holdReason !== undefined) {
         return this.#holdShare(state, { holdReason, inputs, seenForMs }, nowMs);
       }
@@ -347,13 +346,12 @@
         nowMs,
       );
     }
-    const isSuspected = findSuspectedFault(this.#compare(order)) !== undefined;
-    if (
-      seenForMs < order.durationMs * SUSPICION_DEADLINE_FRACTION || !isSuspected
-    ) return [];
+    if (seenForMs < order.durationMs * SUSPICION_DEADLINE_FRACTION) return [];
+    const suspicion = findSuspectedFault(this.#compare(order));
+    if (suspicion === undefined) return [];
     const { service, version } = order;
-    const reason =
-      `suspected of a fault near the end of the release: ${holdReason}`;
+    const reason = `suspected of a fault near the end of the release: ` +
+      `${suspicion}; not found good before because ${holdReason}`;
     this.stopVersion({ service, version, reason });
     return [{ type: "stop", service, version, reason }];
   }
@@ -388,7 +386,12 @@
   }
 
   /** Returns why the version cannot be found good yet, or `undefined`. */
-  #findHoldReason(order: ReleaseOrder): string | undefined {
+  #findHoldReason(
+    order: ReleaseOrder,
+    { storeAgeMs, hasQuorum }: ReleaseInputs,
+  ): string | undefined {
+    if (!hasQuorum) return "fewer than half of the hosts report";
+    if (storeAgeMs >= MAX_STORE_AGE_MS) return "the store does not respond";
     const comparison = this.#compare(order);
     if (comparison.newVersionCounts.size === 0) {
       return "the version has no responses";
--- a/src/core/release/version_counts.ts
+++ b/src/core/release/version_counts.ts
@@ -55,7 +55,27 @@
    * @param processId Identifies the host's process; counts start anew with it.
    */
   setPeerCounts(processId: string, counts: readonly VersionCount[]): void {
-    this.#peerCounts.set(processId, counts);
+    if (counts.length > 0) this.#peerCounts.set(processId, counts);
+  }
+
+  /**
+   * Drops the counts of other hosts and zones for services that are not in
+   * release, including those of processes that have ended since.
+   */
+  retainServices(services: ReadonlySet<string>): void {
+    for (const [processId, counts] of this.#peerCounts) {
+      const kept = counts.filter(({ service }) => services.has(service));
+      if (kept.length === 0) this.#peerCounts.delete(processId);
+      else if (kept.length < counts.length) {
+        this.#peerCounts.set(processId, kept);
+      }
+    }
+    for (const [zone, sums] of this.#zoneCounts) {
+      for (const [key, { service }] of sums) {
+        if (!services.has(service)) sums.delete(key);
+      }
+      if (sums.size === 0) this.#zoneCounts.delete(zone);
+    }
   }
 
   /**
--- a/src/core/request/arrival.ts
+++ b/src/core/request/arrival.ts
@@ -5,6 +5,7 @@
  */
 import type { Document, Organisation, Route } from "../document/document.ts";
 import { hash32, hashToUnitInterval, mix32 } from "../hash32.ts";
+import { hasDotSegment } from "./request_path.ts";
 import type { PipelineDependencies } from "./dependencies.ts";
 import type { IncomingRequest, RefusalReason, RequestState } from "./types.ts";
 
@@ -34,8 +35,11 @@
   if (document === undefined) {
     return refuse("host_starting", "the host has no document yet");
   }
-  if (incoming.isMalformed) {
-    return refuse("bad_request", "a header has an invalid value");
+  if (incoming.malformation !== "") {
+    return refuse("bad_request", incoming.malformation);
+  }
+  if (hasDotSegment(incoming.path)) {
+    return refuse("bad_request", "the path has a segment of dots");
   }
   if (incoming.headerBytes > document.limits.maxHeaderBytes) {
     return refuse(
--- a/src/core/request/pipeline_test.ts
+++ b/src/core/request/pipeline_test.ts
@@ -27,7 +27,7 @@
   timeoutMs: 2_000,
   headerBytes: 200,
   bodyBytes: -1,
-  isMalformed: false,
+  malformation: "",
 };
 
 interface PipelineOptions {
@@ -249,7 +249,10 @@
         }),
       },
     }),
-    "malformed header": refuse({ incoming: { isMalformed: true } }),
+    "malformed header": refuse({
+      incoming: { malformation: "the deadline is not a number" },
+    }),
+    "segment of dots": refuse({ incoming: { path: "/stock/%2E./order/1" } }),
     "headers too large": refuse({ incoming: { headerBytes: 20_000 } }),
     "unknown path": refuse({ incoming: { path: "/other" } }),
     "no key": refuse({ incoming: { keyDigest: "" } }),
--- a/src/core/request/types.ts
+++ b/src/core/request/types.ts
@@ -29,8 +29,8 @@
   readonly headerBytes: number;
   /** Length of the body in bytes; -1 if unknown. */
   readonly bodyBytes: number;
-  /** Whether a header that this system defines has an invalid value. */
-  readonly isMalformed: boolean;
+  /** What is wrong with the request line or headers; "" if they are valid. */
+  readonly malformation: string;
 }
 
 /** Input of the request reducer. */
@@ -58,7 +58,7 @@
     readonly mayHaveReachedTarget: boolean;
     /** Whether the whole body is still available for another attempt. */
     readonly canResend: boolean;
-    /** Length of the response body in bytes; 0 if it was streamed. */
+    /** Bytes of the response's body that were received. */
     readonly responseBytes: number;
   }
   | { readonly type: "caller_disconnected"; readonly requestId: number }
--- a/src/node/address.ts
+++ b/src/node/address.ts
@@ -22,23 +22,42 @@
   return { host, port: Number(address.slice(colon + 1)) };
 }
 
+/** Options of `listen`. */
+export interface ListenOptions {
+  /** Settings field of the address, for the error message. */
+  readonly field: string;
+  /**
+   * Called with errors after the server listens, such as too many open files
+   * when it accepts a connection. The server keeps listening.
+   */
+  readonly onError: (error: Error) => void;
+}
+
 /**
  * Starts to listen on an address.
  *
- * @param field Settings field of the address, for the error message.
- * @throws {ExitError} `addressInUse` when the server cannot listen there.
+ * @throws {ExitError} `addressInUse` when another program listens there,
+ * `settings` when the address cannot be used on this machine.
  */
 export function listen(
   server: Server,
   address: string,
-  field: string,
+  { field, onError }: ListenOptions,
 ): Promise<void> {
   const { host, port } = parseAddress(address);
   return new Promise((resolve, reject) => {
-    server.once("error", (error: NodeJS.ErrnoException) => {
-      const reason = `cannot listen on ${address} (${field}): ${error.message}`;
-      reject(new ExitError("addressInUse", reason));
+    const fail = (error: NodeJS.ErrnoException) =>
+      reject(
+        new ExitError(
+          error.code === "EADDRINUSE" ? "addressInUse" : "settings",
+          `cannot listen on ${address} (${field}): ${error.message}`,
+        ),
+      );
+    server.once("error", fail);
+    server.listen(port, host, () => {
+      server.off("error", fail);
+      server.on("error", onError);
+      resolve();
     });
-    server.listen(port, host, resolve);
   });
 }
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { Server } from "node:net";
 import { Quotas } from "../../core/limits/quotas.ts";
 import { Membership } from "../../core/membership/membership.ts";
 import { CandidateCache } from "../../core/membership/candidate_cache.ts";
@@ -13,6 +14,7 @@
 import type { RefusalReason } from "../../core/request/types.ts";
 import type { EntrySettings } from "../../core/settings/entry_settings.ts";
 import { GracefulStop } from "../../core/stop/graceful_stop.ts";
+import type { ObjectKind } from "../../core/store/types.ts";
 import { RoundTripTimes } from "../../core/targets/round_trip_times.ts";
 import { TargetTable } from "../../core/targets/target_table.ts";
 import type { Locality } from "../../core/types.ts";
@@ -33,6 +35,7 @@
 import type { ObjectCodec } from "../store/object_codec.ts";
 import type { ObjectStore } from "../store/object_store.ts";
 import { ConnectionPool } from "../target/connection_pool.ts";
+import { createGuard, logUnexpectedError } from "../telemetry/guard.ts";
 import { createLog } from "../telemetry/log.ts";
 import { createMetrics } from "../telemetry/metrics.ts";
 import { loadTracing } from "../telemetry/tracing.ts";
@@ -63,12 +66,14 @@
   readonly codec: ObjectCodec;
   /**
    * Creates the client of the store. `onCall` counts its calls, and `onEpoch`
-   * gets the epoch of each response.
+   * gets the epoch of each response. `onUnreadable` is called for each object
+   * that cannot be read.
    */
   readonly createStore: (
     listener: {
       onCall: (call: string, end: string) => void;
       onEpoch: (epoch: number) => void;
+      onUnreadable: (kind: ObjectKind, reason: string) => void;
     },
   ) => ObjectStore;
   /**
@@ -87,6 +92,8 @@
 export interface EntryHost {
   /** Reads the settings again if the file has changed. */
   reload(): void;
+  /** Logs an error that no part of the host has handled. */
+  reportUnexpectedError(error: unknown): void;
   /**
    * Stops gracefully: requests in progress may complete within the grace
    * period. Repeated calls return the same promise.
@@ -114,6 +121,7 @@
     peerAddress: addresses.peers,
   };
   const log = createLog({ host: host.id, zone: host.availabilityZone });
+  const guard = createGuard(log);
   const metrics = createMetrics();
   const tracing = await loadTracing(settings.telemetry.traceFile);
   log.event("starting", { settings });
@@ -121,6 +129,8 @@
   const store = options.createStore({
     onCall: (call, end) => metrics.storeCalls.inc({ call, end }),
     onEpoch: (epoch) => replica.recordEpoch(epoch),
+    onUnreadable: (kind, reason) =>
+      log.warn("object_unreadable", { kind, reason }),
   });
   const membership = new Membership(self);
   const targets = new TargetTable();
@@ -156,7 +166,7 @@
     contentVersion: (kind, object) => codec.contentVersion(kind, object),
     documentVersion: () => applier.document?.version ?? 0,
     onChanges(kind, changes) {
-      applier.apply(kind, changes);
+      guard(`changes of ${kind}`, () => applier.apply(kind, changes));
       if (kind !== "targets") return;
       measureDistances({ targets, roundTrips, pool, nowMs });
     },
@@ -232,8 +242,13 @@
       reportExchange.requestReport();
     },
   });
+  let generatedIds = 0;
   const handler = new RequestHandler({
     dependencies,
+    createRequestId: () => {
+      generatedIds += 1;
+      return `${host.id}-${startedMs.toString(36)}-${generatedIds}`;
+    },
     pool,
     headerNames,
     log,
@@ -328,7 +343,7 @@
     const result = options.settings.reload();
     if (result.type === "changed") {
       log.event("settings_reloaded", { settings: options.settings.current });
-    } else if (result.type === "rejected") {
+    } else if (result.type === "rejected" && !result.isRepeated) {
       log.warn("settings_rejected", { reason: result.reason });
     }
   }
@@ -343,22 +358,28 @@
       log.warn("process_paused", { gapMs: Math.round(gapMs) });
       membership.recordPause(gapMs);
     }
-    quotas.update(atMs);
-    applier.tick();
-    releaseRunner.tick();
-    registration.tick();
-    pool.prune(atMs);
-    replica.tick(
-      membership.taskRank("watch", atMs),
-      fleetReports.peerStatuses(),
-    );
+    guard("quotas", () => quotas.update(atMs));
+    guard("applier", () => applier.tick());
+    guard("releases", () => releaseRunner.tick());
+    guard("registration", () => registration.tick());
+    guard("pool", () => pool.prune(atMs));
+    guard("replica", () => {
+      const rank = membership.taskRank("watch", atMs);
+      replica.tick(rank, fleetReports.peerStatuses());
+    });
   }, TICK_INTERVAL_MS);
 
+  const listenOn = (server: Server, name: keyof typeof addresses) =>
+    listen(server, addresses[name], {
+      field: `listen.${name}`,
+      onError: (error) =>
+        log.warn("server_failed", { server: name, reason: error.message }),
+    });
   await Promise.all([
-    listen(callerServer, addresses.callers, "listen.callers"),
-    listen(lookupServer, addresses.lookups, "listen.lookups"),
-    listen(readinessServer, addresses.readiness, "listen.readiness"),
-    listen(peerServer, addresses.peers, "listen.peers"),
+    listenOn(callerServer, "callers"),
+    listenOn(lookupServer, "lookups"),
+    listenOn(readinessServer, "readiness"),
+    listenOn(peerServer, "peers"),
     reportExchange.start(),
   ]);
   const stopFollowing = replica.start();
@@ -398,6 +419,8 @@
 
   return {
     reload,
+    reportUnexpectedError: (error) =>
+      logUnexpectedError(log, "event loop", error),
     stop: () => stopping ??= performStop(),
   };
 }
--- a/src/node/entry/http_exchange.ts
+++ b/src/node/entry/http_exchange.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { RequestBody } from "../front/request_body.ts";
+import type { RequestTarget } from "../front/request_target.ts";
 import type { Attempt } from "../target/attempt.ts";
 import type { AttemptResult } from "../target/types.ts";
 
@@ -14,6 +15,11 @@
   readonly id: number;
   /** Request id from the caller's header, or a generated one. */
   readonly callerRequestId: string;
+  /** Whether the id was generated, as the caller sent none. */
+  readonly isIdGenerated: boolean;
+  readonly target: RequestTarget;
+  /** What is wrong with the request line or headers; "" if they are valid. */
+  readonly malformation: string;
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly startedMs: number;
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -17,8 +17,10 @@
   RequestEvent,
 } from "../../core/request/types.ts";
 import type { Target } from "../../core/targets/types.ts";
+import { createRefusal } from "../../core/errors.ts";
 import { countHeaderBytes, formatRequestHead } from "../front/headers.ts";
 import { RequestBody } from "../front/request_body.ts";
+import { parseRequestTarget } from "../front/request_target.ts";
 import {
   startStreamedResponse,
   writeBufferedResponse,
@@ -27,6 +29,7 @@
 import type { HeaderNames } from "../header_names.ts";
 import { Attempt } from "../target/attempt.ts";
 import type { ConnectionPool } from "../target/connection_pool.ts";
+import { logUnexpectedError } from "../telemetry/guard.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { Metrics } from "../telemetry/metrics.ts";
 import type { Tracing } from "../telemetry/tracing.ts";
@@ -47,6 +50,8 @@
   readonly metrics: Metrics;
   readonly tracing: Tracing;
   readonly nowMs: () => number;
+  /** Creates an id for a request without one, unique over hosts and starts. */
+  readonly createRequestId: () => string;
   /** Whether to ask callers to close their connections. */
   readonly closesConnections: () => boolean;
   /** Reports a request that crashed a target to the other hosts. */
@@ -85,11 +90,16 @@
   handle(req: IncomingMessage, res: ServerResponse): void {
     const { headerNames, nowMs, dependencies } = this.#options;
     const id = this.#nextId++;
-    const callerRequestId = findHeader(req, headerNames.requestId) ??
-      `local-${id}`;
+    const { requestId, malformation, ...head } = readRequestHead(
+      req,
+      headerNames,
+    );
     const exchange: HttpExchange = {
       id,
-      callerRequestId,
+      callerRequestId: requestId ?? this.#options.createRequestId(),
+      isIdGenerated: requestId === undefined,
+      ...head,
+      malformation,
       req,
       res,
       startedMs: nowMs(),
@@ -127,39 +137,69 @@
 
   /** Passes an event to the request reducer and applies the effects. */
   dispatch(event: RequestEvent): void {
-    const { dependencies, nowMs } = this.#options;
-    for (
-      const effect of reduceRequest(this.#state, event, nowMs(), dependencies)
-    ) {
-      this.#applyEffect(effect);
+    const { dependencies, nowMs, log } = this.#options;
+    try {
+      for (
+        const effect of reduceRequest(this.#state, event, nowMs(), dependencies)
+      ) {
+        this.#applyEffect(effect);
+      }
+    } catch (error) {
+      logUnexpectedError(log, event.type, error);
+      if (event.type === "request_arrived") {
+        this.#fail(event.incoming.requestId);
+      } else if ("requestId" in event) this.#fail(event.requestId);
     }
   }
 
-  #createIncomingRequest({ id, req }: HttpExchange): IncomingRequest {
+  /** Ends a request whose handling failed. It may have run. */
+  #fail(requestId: number): void {
+    this.#state.requests.delete(requestId);
+    const exchange = this.#exchanges.get(requestId);
+    if (exchange === undefined) return;
+    exchange.attempt?.abort();
+    exchange.attempt = undefined;
+    const { metrics, dependencies, headerNames } = this.#options;
+    exchange.end = "internal";
+    metrics.refusals.inc({ kind: "internal" });
+    const { res, callerRequestId } = exchange;
+    if (res.headersSent) return void res.destroy();
+    exchange.body?.dispose();
+    writeRefusal(res, createRefusal("internal", dependencies.random), {
+      closesConnection: true,
+      extraHeaders: { [headerNames.requestId]: callerRequestId },
+    });
+  }
+
+  #createIncomingRequest(
+    { id, req, target, malformation }: HttpExchange,
+  ): IncomingRequest {
     const { headerNames } = this.#options;
-    const timeout = findHeader(req, headerNames.timeoutMs);
-    const timeoutMs = timeout === undefined ? 0 : Number(timeout);
+    const timeoutMs = Number(findHeader(req, headerNames.timeoutMs) ?? 0);
     const contentLength = req.headers["content-length"];
     return {
       requestId: id,
       method: req.method ?? "GET",
-      host: req.headers.host ?? "",
-      path: req.url ?? "/",
+      host: target.host,
+      path: target.path,
       keyDigest: hashApiKey(req.headers.authorization),
       affinityKey: findHeader(req, headerNames.affinityKey) ?? "",
       timeoutMs: Number.isFinite(timeoutMs) ? Math.max(0, timeoutMs) : 0,
       headerBytes: countHeaderBytes(req.rawHeaders),
       bodyBytes: contentLength === undefined ? -1 : Number(contentLength),
-      isMalformed: !Number.isFinite(timeoutMs),
+      malformation,
     };
   }
 
-  #dispatchBodyReady({ id, req }: HttpExchange, body: RequestBody): void {
+  #dispatchBodyReady(
+    { id, req, target }: HttpExchange,
+    body: RequestBody,
+  ): void {
     this.dispatch({
       type: "body_ready",
       requestId: id,
       bytes: body.receivedBytes,
-      contentHash: body.hashContent(req.method ?? "GET", req.url ?? "/"),
+      contentHash: body.hashContent(req.method ?? "GET", target.path),
     });
   }
 
@@ -208,8 +248,18 @@
       request: {
         method,
         head: formatRequestHead(
-          { method, path: req.url ?? "/", rawHeaders: req.rawHeaders },
-          { remainingMs, targetId: target.id, organisation },
+          {
+            method,
+            path: exchange.target.path,
+            rawHeaders: req.rawHeaders,
+            host: exchange.target.host,
+          },
+          {
+            remainingMs,
+            targetId: target.id,
+            organisation,
+            requestId: exchange.isIdGenerated ? callerRequestId : "",
+          },
           outgoingBody.framing,
           headerNames,
         ),
@@ -257,7 +307,7 @@
             end: result.end,
             mayHaveReachedTarget: result.mayHaveReachedTarget,
             canResend: body.canResend,
-            responseBytes: result.response?.body.length ?? 0,
+            responseBytes: result.receivedBytes,
           });
         },
       },
@@ -355,6 +405,26 @@
   }
 }
 
+/** Reads what identifies a request, and checks it. */
+function readRequestHead(req: IncomingMessage, headerNames: HeaderNames) {
+  const ids = req.headersDistinct[headerNames.requestId] ?? [];
+  const target = parseRequestTarget(req.url ?? "/", req.headers.host ?? "");
+  const timeoutMs = Number(findHeader(req, headerNames.timeoutMs) ?? 0);
+  let malformation = "";
+  if (target === undefined) {
+    malformation = "the request target is neither a path nor an HTTP URI";
+  } else if (ids.length > 1) malformation = "the request has several ids";
+  else if (ids[0] === "") malformation = "the request id is empty";
+  else if (!Number.isFinite(timeoutMs)) {
+    malformation = "the deadline is not a number";
+  }
+  return {
+    requestId: malformation === "" ? ids[0] : undefined,
+    target: target ?? { host: "", path: req.url ?? "/" },
+    malformation,
+  };
+}
+
 const BEARER_TOKEN = /^Bearer +(\S+) *$/i;
 
 /** Returns the SHA-256 of the caller's API key in hex; "" without a key. */
--- a/src/node/front/caller_server.ts
+++ b/src/node/front/caller_server.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createServer, type RequestListener, type Server } from "node:http";
+import { ERROR_RESPONSES } from "../../core/errors.ts";
 
 /** Idle time of a connection until a document sets it. */
 const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
@@ -12,6 +13,12 @@
  * closes it later.
  */
 const IDLE_TIMEOUT_MARGIN_MS = 2_000;
+/** Time for the headers of a request until a document sets it. */
+const DEFAULT_HEADERS_TIMEOUT_MS = 5_000;
+/** Time for headers that a slow link holds up, beyond the document's limit. */
+const HEADERS_TIMEOUT_MARGIN_MS = 1_000;
+/** Time between two checks for headers that are overdue. */
+const HEADERS_CHECK_INTERVAL_MS = 1_000;
 /** Parser limit; the limit of the document is checked after parsing. */
 const MAX_HEADER_BYTES = 131_072;
 
@@ -27,11 +34,18 @@
 export function createCallerServer(handle: RequestListener): Server {
   const server = createServer({
     keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+    headersTimeout: DEFAULT_HEADERS_TIMEOUT_MS,
+    connectionsCheckingInterval: HEADERS_CHECK_INTERVAL_MS,
     maxHeaderSize: MAX_HEADER_BYTES,
     // A slow body is bounded by the deadline of the request instead.
     requestTimeout: 0,
     noDelay: true,
   }, handle);
+  // Node.js closes the connection of this method without a response otherwise.
+  server.on("connect", (_req, socket) => {
+    socket.on("error", () => {});
+    socket.end(formatUnsupportedMethod());
+  });
   return server;
 }
 
@@ -41,5 +55,16 @@
   { headerTimeoutMs, idleTimeoutMs }: CallerLimits,
 ): void {
   server.keepAliveTimeout = idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
-  server.headersTimeout = headerTimeoutMs;
+  server.headersTimeout = headerTimeoutMs + HEADERS_TIMEOUT_MARGIN_MS;
+}
+
+/** Formats the response to a method for which Node.js creates no response. */
+function formatUnsupportedMethod(): string {
+  const { status, message, ran } = ERROR_RESPONSES.method_unsupported;
+  const body = JSON.stringify({
+    error: { kind: "method_unsupported", message, ran, retryAfterMs: 0 },
+  });
+  return `HTTP/1.1 ${status} Not Implemented\r\n` +
+    "content-type: application/json\r\n" +
+    `content-length: ${body.length}\r\nconnection: close\r\n\r\n${body}`;
 }
--- a/src/node/front/endpoint_server.ts
+++ b/src/node/front/endpoint_server.ts
@@ -36,8 +36,12 @@
   });
   for (const [path, handle] of Object.entries(endpoints)) {
     router.get(path, (req, res) => {
-      const url = new URL(req.url ?? "/", "http://host");
-      handle(req as IncomingMessage, res as ServerResponse, url.searchParams);
+      const query = /\?([^#]*)/.exec(req.url ?? "")?.[1];
+      handle(
+        req as IncomingMessage,
+        res as ServerResponse,
+        new URLSearchParams(query),
+      );
     });
   }
   return createServer((req, res) => router.lookup(req, res));
--- a/src/node/front/headers.ts
+++ b/src/node/front/headers.ts
@@ -30,6 +30,8 @@
   readonly targetId: string;
   /** Organisation of the request; "" on routes that need no API key. */
   readonly organisation: string;
+  /** Id of a request that the caller sent without one; "" otherwise. */
+  readonly requestId: string;
 }
 
 /** Framing of a request body. */
@@ -41,9 +43,17 @@
 /**
  * Formats the request line and headers for a target. The API key of the caller
  * is not forwarded.
+ *
+ * @param request `host` replaces the host header, which an absolute request
+ * target overrides.
  */
 export function formatRequestHead(
-  request: { method: string; path: string; rawHeaders: RawHeaders },
+  request: {
+    method: string;
+    path: string;
+    rawHeaders: RawHeaders;
+    host: string;
+  },
   added: AddedHeaders,
   framing: BodyFraming,
   headerNames: HeaderNames,
@@ -51,13 +61,18 @@
   const omitted = new Set([
     "authorization",
     "content-length",
+    "host",
     headerNames.timeoutMs,
     headerNames.targetId,
     headerNames.organisation,
     ...listConnectionOptions(request.rawHeaders),
   ]);
   let head = `${request.method} ${request.path} HTTP/1.1\r\n`;
+  head += `Host: ${request.host}\r\n`;
   head += formatForwardedHeaders(request.rawHeaders, omitted);
+  if (added.requestId !== "") {
+    head += `${headerNames.requestId}: ${added.requestId}\r\n`;
+  }
   const remainingMs = Math.max(1, Math.floor(added.remainingMs));
   head += `${headerNames.timeoutMs}: ${remainingMs}\r\n`;
   head += `${headerNames.targetId}: ${added.targetId}\r\n`;
--- a/src/node/front/response_writer.ts
+++ b/src/node/front/response_writer.ts
@@ -41,9 +41,14 @@
 ): void {
   const headers = filterResponseHeaders(head.rawHeaders);
   const length = findContentLength(head);
+  // A caller of HTTP/1.0 cannot read chunks; the end of the connection marks the
+  // end of its body.
+  const isChunkable = res.req.httpVersion !== "1.0";
   if (length !== undefined) headers.push("content-length", length);
-  else headers.push("transfer-encoding", "chunked");
-  writeHead(res, head, headers, options);
+  else if (isChunkable) headers.push("transfer-encoding", "chunked");
+  const closesConnection = options.closesConnection ||
+    (length === undefined && !isChunkable);
+  writeHead(res, head, headers, { closesConnection });
 }
 
 /** Writes a refusal, with its details as JSON. */
--- a/src/node/peer/report_exchange.ts
+++ b/src/node/peer/report_exchange.ts
@@ -173,7 +173,10 @@
     if (recipients.length === 0) {
       for (const seed of seeds) this.#sendDatagram(seed, bytes);
     }
-    if (membership.isDelegate(atMs)) this.#sendZoneReport(ownReport, atMs);
+    const isLeaving = ownReport.record.state === "leaving";
+    if (membership.isDelegate(atMs, { isLeaving })) {
+      this.#sendZoneReport(ownReport, atMs);
+    }
     this.#isReportRequested = false;
   }
 
@@ -205,8 +208,14 @@
   #sendDatagram(address: string, bytes: Uint8Array): void {
     const { host, port } = parseAddress(address);
     this.#options.metrics.peerMessages.inc({ direction: "sent" });
-    // Errors are ignored: the next report replaces a lost datagram.
-    this.#socket.send(bytes, port, host, () => {});
+    try {
+      // Errors are ignored: the next report replaces a lost datagram.
+      this.#socket.send(bytes, port, host, () => {});
+    } catch (error) {
+      // A port out of range throws; the other hosts still get the report.
+      const reason = (error as Error).message;
+      this.#options.log.warn("datagram_failed", { address, reason });
+    }
   }
 
   #receive(bytes: Buffer): void {
@@ -215,14 +224,17 @@
     const datagram = this.#decode(() => decodeDatagram(bytes));
     if (datagram === undefined) return;
     for (const pushedDelta of datagram.pushedDeltas) {
-      this.#receivePushedDelta(pushedDelta);
+      this.#decode(() => this.#receivePushedDelta(pushedDelta));
     }
     for (const zoneReport of datagram.zoneReports) {
-      this.#receiveZoneReport(zoneReport);
+      this.#decode(() => this.#receiveZoneReport(zoneReport));
+    }
+    for (const report of datagram.reports) {
+      this.#decode(() => onReport(report));
     }
-    for (const report of datagram.reports) onReport(report);
   }
 
+  /** Runs a step for a datagram; an error drops what it handles. */
   #decode<T>(decode: () => T): T | undefined {
     try {
       return decode();
--- a/src/node/settings_source.ts
+++ b/src/node/settings_source.ts
@@ -10,7 +10,12 @@
   | { readonly type: "unchanged" }
   | { readonly type: "changed" }
   /** The file cannot be read or is invalid; the previous settings remain. */
-  | { readonly type: "rejected"; readonly reason: string };
+  | {
+    readonly type: "rejected";
+    readonly reason: string;
+    /** Whether the same file was rejected before, for the same reason. */
+    readonly isRepeated: boolean;
+  };
 
 /** Holds the current settings and reloads them on request. */
 export class SettingsSource<T> {
@@ -18,6 +23,8 @@
   readonly #read: (path: string) => T;
   #text: string;
   #current: T;
+  /** Reason of the last reload if it was rejected; "" otherwise. */
+  #rejectionReason = "";
 
   /**
    * Reads the settings for the first time.
@@ -41,12 +48,19 @@
   reload(): ReloadResult {
     try {
       const text = readFileSync(this.#path, "utf8");
-      if (text === this.#text) return { type: "unchanged" };
-      this.#text = text;
+      if (text === this.#text) {
+        this.#rejectionReason = "";
+        return { type: "unchanged" };
+      }
       this.#current = this.#read(this.#path);
+      this.#text = text;
+      this.#rejectionReason = "";
       return { type: "changed" };
     } catch (error) {
-      return { type: "rejected", reason: (error as Error).message };
+      const reason = (error as Error).message;
+      const isRepeated = reason === this.#rejectionReason;
+      this.#rejectionReason = reason;
+      return { type: "rejected", reason, isRepeated };
     }
   }
 }
--- a/src/node/target/attempt.ts
+++ b/src/node/target/attempt.ts
@@ -255,6 +255,7 @@
       response: head === undefined || this.#isStreaming
         ? undefined
         : { head, body: Buffer.concat(this.#chunks) },
+      receivedBytes: this.#receivedBytes,
       detail,
     });
   }
--- a/src/node/target/response_parser.ts
+++ b/src/node/target/response_parser.ts
@@ -213,9 +213,10 @@
       this.#status !== 304;
     const isUntilClose = hasBody && !framing.isChunked &&
       framing.contentLength < 0;
+    const { connectionOptions } = framing;
     const isPersistent = this.#minorVersion === 1
-      ? !framing.connectionOptions.includes("close")
-      : framing.connectionOptions.includes("keep-alive");
+      ? !connectionOptions.has("close")
+      : connectionOptions.has("keep-alive");
     this.#state = !hasBody || framing.contentLength === 0
       ? "status"
       : framing.isChunked
@@ -253,7 +254,7 @@
   /** Content length in bytes; -1 when not stated. */
   contentLength: number;
   /** Options of all `connection` headers, in lower case. */
-  connectionOptions: string;
+  readonly connectionOptions: Set<string>;
   /** Keep-alive time; -1 when not stated. */
   keepAliveMs: number;
 }
@@ -262,7 +263,7 @@
   const framing: FramingHeaders = {
     isChunked: false,
     contentLength: -1,
-    connectionOptions: "",
+    connectionOptions: new Set(),
     keepAliveMs: -1,
   };
   for (let i = 0; i < rawHeaders.length; i += 2) {
@@ -284,7 +285,9 @@
         framing.isChunked = true;
         break;
       case "connection":
-        framing.connectionOptions += ` ${value.toLowerCase()}`;
+        for (const option of value.split(",")) {
+          framing.connectionOptions.add(option.trim().toLowerCase());
+        }
         break;
       case "keep-alive": {
         const match = KEEP_ALIVE_TIMEOUT.exec(value);
--- a/src/node/target/types.ts
+++ b/src/node/target/types.ts
@@ -35,6 +35,8 @@
   readonly mayHaveReachedTarget: boolean;
   /** The response; `undefined` if there is none or if it was streamed. */
   readonly response: BufferedResponse | undefined;
+  /** Bytes of the response's body that were received, streamed or not. */
+  readonly receivedBytes: number;
   /** Description of the result for the log. */
   readonly detail: string;
 }
--- a/src/testing/processes.ts
+++ b/src/testing/processes.ts
@@ -28,6 +28,8 @@
    * first or the timeout passes; default is 20 s.
    */
   waitForOutput(text: string, timeoutMs?: number): Promise<void>;
+  /** Whether `stop` was called. */
+  readonly isStopRequested: boolean;
   /** Resolves with the exit status, or `null` if a signal killed it. */
   readonly exited: Promise<number | null>;
   /** Sends a signal, `SIGTERM` by default, and waits for the exit. */
@@ -44,6 +46,7 @@
     stdio: ["ignore", "pipe", "pipe"],
     env: { ...process.env, ...options.env },
   });
+  let isStopRequested = false;
   let combinedOutput = "";
   let standardOutputText = "";
   let standardErrorText = "";
@@ -72,6 +75,9 @@
     standardOutput: () => standardOutputText,
     standardError: () => standardErrorText,
     exited,
+    get isStopRequested() {
+      return isStopRequested;
+    },
     waitForOutput(expectedText, timeoutMs = 20_000) {
       return new Promise((resolve, reject) => {
         const finish = (error?: Error) => {
@@ -104,6 +110,7 @@
       });
     },
     async stop(signal = "SIGTERM") {
+      isStopRequested = true;
       child.kill(signal);
       return await exited;
     },
