Leave targets alone that state that they leave or want no requests

Cause: no code read Server-Leaving, nor Retry-After of a target's 503. A target that stated that it leaves got 101 requests later than 0.5 s, one that refused for 4 s up to 139 within that time.

Change: core/targets/stated_availability.ts decides by what a target states of itself, from the head of any of its responses but 421. Leaving holds for an instance, travels in the reports of hosts and zones, and is reported again when a new process appears; a restarted host serves once another host has reported, or after 0.3 s. Times without requests are bounded at 5 minutes and spread over the hosts; afterwards a target gets one attempt at a time until one is answered. A refusal with a stated time is no failure of the target.

A response without the id of its request counts on a new connection only. On a used one it may be an earlier refusal that was written again.

--- a/src/core/balance/usable_targets.ts
+++ b/src/core/balance/usable_targets.ts
@@ -37,28 +37,32 @@
 ): TargetState[] {
   return states.filter((state) =>
     isUsableBelowLimit(state, inputs, nowMs) &&
-    limitDelayMs(state, inputs, nowMs) === 0
+    statedDelayMs(state, inputs, nowMs) === 0
   );
 }
 
 /**
- * Returns the time until one of the targets that are at their stated limit may
- * receive the request, in milliseconds; Infinity if only other hosts may send
- * to them, and `undefined` if there is no such target.
+ * Returns the time until one of the targets may receive the request that state
+ * a limit, or that they want no requests for a time, in milliseconds; Infinity
+ * if only other hosts may send to them, and `undefined` if there is no such
+ * target.
  */
-export function findLimitDelayMs(
+export function findStatedDelayMs(
   states: readonly TargetState[],
   inputs: UsabilityInputs,
   nowMs: number,
 ): number | undefined {
   const delaysMs = states.filter((state) =>
     isUsableBelowLimit(state, inputs, nowMs)
-  ).map((state) => limitDelayMs(state, inputs, nowMs))
+  ).map((state) => statedDelayMs(state, inputs, nowMs))
     .filter((delayMs) => delayMs > 0);
   return delaysMs.length > 0 ? Math.min(...delaysMs) : undefined;
 }
 
-/** Whether a target may receive a request unless it is at its stated limit. */
+/**
+ * Whether a target may receive a request unless it is at its stated limit or
+ * wants no requests for a time.
+ */
 function isUsableBelowLimit(
   state: TargetState,
   inputs: UsabilityInputs,
@@ -67,7 +71,8 @@
   const { triedTargetIds, versionRule, evacuatedZones, route, organisation } =
     inputs;
   const { id, isDraining, availabilityZone, region, version } = state.target;
-  if (isDraining || evacuatedZones.has(availabilityZone)) return false;
+  if (isDraining || state.availability.isLeaving) return false;
+  if (evacuatedZones.has(availabilityZone)) return false;
   if (!isHomeRegion(region, route.homeRegions)) return false;
   if (organisation && !isHomeRegion(region, organisation.homeRegions)) {
     return false;
@@ -80,14 +85,16 @@
     hasColdStartToken(state, inputs, nowMs);
 }
 
-function limitDelayMs(
-  { hash, statedLimit }: TargetState,
+function statedDelayMs(
+  { hash, statedLimit, availability }: TargetState,
   { limitCandidates }: UsabilityInputs,
   nowMs: number,
 ): number {
-  return statedLimit.limitPerS === undefined
-    ? 0
-    : statedLimit.delayMs(hash, limitCandidates(), nowMs);
+  const availabilityDelayMs = availability.delayMs(nowMs);
+  return statedLimit.limitPerS === undefined ? availabilityDelayMs : Math.max(
+    availabilityDelayMs,
+    statedLimit.delayMs(hash, limitCandidates(), nowMs),
+  );
 }
 
 /** Whether a region is one of the home regions; an empty list allows all. */
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -108,6 +108,11 @@
     return this.#peers.get(id);
   }
 
+  /** Whether a report of any other host was received. */
+  get hasReports(): boolean {
+    return this.#peers.size > 0;
+  }
+
   /** All other hosts that are registered or have reported, alive or not. */
   peers(): HostAddress[] {
     const peers = new Map<string, HostAddress>(this.#registered);
--- a/src/core/membership/report.ts
+++ b/src/core/membership/report.ts
@@ -12,6 +12,7 @@
 import type { StorePosition } from "../store/position.ts";
 import type { StoreReport } from "../store/store_availability.ts";
 import type { ObjectKind } from "../store/types.ts";
+import type { TargetInstance } from "../targets/leaving_targets.ts";
 import type { TargetLimit } from "../targets/limit_reports.ts";
 import type { HostRecord } from "./types.ts";
 
@@ -36,6 +37,8 @@
   readonly releases: readonly ReleaseProgress[];
   /** Limits that targets stated in responses to the host. */
   readonly limits: readonly TargetLimit[];
+  /** Instances of targets that have stated that they are leaving. */
+  readonly leavingTargets: readonly TargetInstance[];
   /** Availability of the store as the host sees it. */
   readonly store: StoreReport;
   /** Crashes and blocked fingerprints that the host learned of recently. */
--- a/src/core/membership/zone_summary.ts
+++ b/src/core/membership/zone_summary.ts
@@ -14,6 +14,7 @@
 import type { StorePosition } from "../store/position.ts";
 import type { StoreReport } from "../store/store_availability.ts";
 import type { ObjectKind } from "../store/types.ts";
+import type { TargetInstance } from "../targets/leaving_targets.ts";
 import { mergeLimits, type TargetLimit } from "../targets/limit_reports.ts";
 import type { CrashReport, HostReport } from "./report.ts";
 import type { HostRecord } from "./types.ts";
@@ -43,6 +44,8 @@
   readonly releases: readonly ReleaseProgress[];
   /** Limits that targets stated in responses to the hosts. */
   readonly limits: readonly TargetLimit[];
+  /** Instances of targets that have stated that they are leaving. */
+  readonly leavingTargets: readonly TargetInstance[];
   readonly crashReports: readonly CrashReport[];
 }
 
@@ -85,6 +88,8 @@
     stopped: ownReport.stopped,
     releases: ownReport.releases,
     limits: mergeLimits(reports.flatMap(({ limits }) => limits)),
+    // The author has already merged the instances that its peers report.
+    leavingTargets: ownReport.leavingTargets,
     crashReports: distinctCrashReports(
       reports.flatMap(({ crashReports }) => crashReports),
     ),
--- a/src/core/request/dependencies.ts
+++ b/src/core/request/dependencies.ts
@@ -9,6 +9,7 @@
 import type { Document, Organisation, Route } from "../document/document.ts";
 import type { QuotaDecision } from "../limits/quotas.ts";
 import type { ExpectedServiceTime } from "../targets/service_times.ts";
+import type { AvailabilityStatement } from "../targets/stated_availability.ts";
 import type { InFlightAttempt, TargetState } from "../targets/target_table.ts";
 import type { AttemptEnd } from "../targets/types.ts";
 import type { Random } from "../types.ts";
@@ -45,11 +46,11 @@
     nowMs: number,
   ): readonly TargetState[];
   /**
-   * Returns the time until a target that is at its stated limit may receive the
-   * request; Infinity while only other hosts may send to it, and `undefined` if
-   * there is no such target.
+   * Returns the time until a target may receive the request that states a limit
+   * or wants no requests for a time; Infinity while only other hosts may send to
+   * it, and `undefined` if there is no such target.
    */
-  findLimitDelayMs(request: RequestState, nowMs: number): number | undefined;
+  findStatedDelayMs(request: RequestState, nowMs: number): number | undefined;
   chooseTarget(
     usable: readonly TargetState[],
     request: RequestState,
@@ -61,6 +62,12 @@
     nowMs: number,
   ): InFlightAttempt;
   endAttempt(handle: InFlightAttempt, end: AttemptEnd, nowMs: number): void;
+  /** Records what the target of an attempt states of its availability. */
+  recordStatement(
+    handle: InFlightAttempt,
+    statement: AvailabilityStatement,
+    nowMs: number,
+  ): void;
   /** Records that a connection to a target could not be established. */
   recordUnreachable(targetId: string, nowMs: number): void;
   /** Records a good or bad result for the version of a target. */
--- a/src/core/request/pipeline.ts
+++ b/src/core/request/pipeline.ts
@@ -39,6 +39,9 @@
     case "body_too_large":
       transition.handleBodyTooLarge(event.requestId);
       break;
+    case "target_stated":
+      transition.handleStatement(event.requestId, event.statement);
+      break;
     case "response_started": {
       const request = state.requests.get(event.requestId);
       if (request !== undefined) request.hasResponseStarted = true;
--- a/src/core/request/pipeline_test.ts
+++ b/src/core/request/pipeline_test.ts
@@ -69,7 +69,8 @@
     findUsableTargets: ({ triedTargetIds }) =>
       targetTable.ofService("stockdesk")
         .filter(({ target }) => !triedTargetIds.includes(target.id)),
-    findLimitDelayMs: () => undefined,
+    findStatedDelayMs: () => undefined,
+    recordStatement: () => {},
     chooseTarget: ([first]) => first && createCandidate(first),
     beginAttempt: (_request, target, nowMs) =>
       targetTable.beginAttempt(target, undefined, nowMs),
@@ -267,11 +268,11 @@
     "no usable target": refuse({ targetCount: 0 }),
     "targets at their limit": refuse({
       targetCount: 0,
-      dependencies: { findLimitDelayMs: () => 120.5 },
+      dependencies: { findStatedDelayMs: () => 120.5 },
     }),
     "only other hosts may send below the limit": refuse({
       targetCount: 0,
-      dependencies: { findLimitDelayMs: () => Infinity },
+      dependencies: { findStatedDelayMs: () => Infinity },
     }),
     "queue wait too long": refuse({
       dependencies: {
--- a/src/core/request/transition.ts
+++ b/src/core/request/transition.ts
@@ -7,6 +7,7 @@
  */
 import type { CrashVerdict } from "../crashes/crash_attribution.ts";
 import { createRefusal, replaceNotRunKind } from "../errors.ts";
+import type { AvailabilityStatement } from "../targets/stated_availability.ts";
 import type { AttemptEnd, AttemptOutcome } from "../targets/types.ts";
 import { checkArrival } from "./arrival.ts";
 import type { PipelineDependencies } from "./dependencies.ts";
@@ -86,6 +87,12 @@
     });
   }
 
+  handleStatement(requestId: number, statement: AvailabilityStatement): void {
+    const attempt = this.#state.requests.get(requestId)?.currentAttempt;
+    if (attempt === undefined) return;
+    this.#dependencies.recordStatement(attempt.handle, statement, this.#nowMs);
+  }
+
   handleAttemptEnd(event: AttemptEndedEvent): void {
     const request = this.#state.requests.get(event.requestId);
     const attempt = request?.currentAttempt;
@@ -226,21 +233,21 @@
 
   /** Refuses a request for which there is no usable target. */
   #refuseWithoutTarget(request: RequestState): void {
-    const limitDelayMs = this.#dependencies.findLimitDelayMs(
+    const statedDelayMs = this.#dependencies.findStatedDelayMs(
       request,
       this.#nowMs,
     );
-    if (limitDelayMs === undefined) {
+    if (statedDelayMs === undefined) {
       const reason = `service ${request.service} has no usable target`;
       return this.#endWithRefusal(request, { kind: "no_target", reason });
     }
     this.#endWithRefusal(request, {
       kind: "no_room",
-      reason: "all usable targets are at the limit that they state",
+      reason: "all usable targets state a limit or want no requests for a time",
       // Another host may be able to send sooner than the default delay.
-      retryAfterMs: limitDelayMs === Infinity
+      retryAfterMs: statedDelayMs === Infinity
         ? undefined
-        : Math.ceil(limitDelayMs),
+        : Math.ceil(statedDelayMs),
     });
   }
 
--- a/src/core/request/types.ts
+++ b/src/core/request/types.ts
@@ -6,6 +6,7 @@
 import type { Candidate } from "../balance/choose_target.ts";
 import type { Organisation, Route } from "../document/document.ts";
 import type { ErrorKind, Refusal } from "../errors.ts";
+import type { AvailabilityStatement } from "../targets/stated_availability.ts";
 import type { InFlightAttempt } from "../targets/target_table.ts";
 import type { AttemptEnd, Target } from "../targets/types.ts";
 
@@ -46,6 +47,12 @@
     readonly contentHash: string;
   }
   | { readonly type: "body_too_large"; readonly requestId: number }
+  /** A response, complete or not, states the availability of its target. */
+  | {
+    readonly type: "target_stated";
+    readonly requestId: number;
+    readonly statement: AvailabilityStatement;
+  }
   /**
    * The first part of a streamed response is about to be sent to the caller.
    */
--- a/src/core/targets/target_health.ts
+++ b/src/core/targets/target_health.ts
@@ -58,6 +58,13 @@
     this.#trialUntilMs = nowMs + MAX_BACK_OFF_MS;
   }
 
+  /** Records a response that is neither a success nor a failure. */
+  recordResponse(nowMs: number): void {
+    this.#lastResponseMs = nowMs;
+    this.#failedConnections = 0;
+    this.#trialUntilMs = -Infinity;
+  }
+
   /** Records the outcome of an attempt. */
   recordOutcome(outcome: AttemptOutcome, nowMs: number): void {
     switch (outcome) {
@@ -66,9 +73,7 @@
       case "answered":
       case "shed":
       case "failed":
-        this.#lastResponseMs = nowMs;
-        this.#failedConnections = 0;
-        this.#trialUntilMs = -Infinity;
+        this.recordResponse(nowMs);
         this.#updateFailureFraction(outcome === "answered" ? 0 : 1, nowMs);
         return;
       case "unreachable":
--- a/src/core/targets/target_table.ts
+++ b/src/core/targets/target_table.ts
@@ -7,6 +7,11 @@
 import { hash32 } from "../hash32.ts";
 import { ColdStartLimit } from "./cold_start_limit.ts";
 import { LoadEstimate } from "./load_estimate.ts";
+import { LeavingTargets, type TargetInstance } from "./leaving_targets.ts";
+import {
+  type AvailabilityStatement,
+  StatedAvailability,
+} from "./stated_availability.ts";
 import { StatedLimit } from "./stated_limit.ts";
 import { TargetHealth } from "./target_health.ts";
 import type { AttemptEnd, Registration, Target } from "./types.ts";
@@ -30,6 +35,7 @@
   readonly warmKeys = new WarmKeys();
   readonly coldStartLimit: ColdStartLimit;
   readonly statedLimit = new StatedLimit();
+  readonly availability = new StatedAvailability();
   /** Time at which the cold start of the target ends. */
   coldStartUntilMs: number;
   /** Starts of the in-flight attempts, oldest first. */
@@ -82,6 +88,18 @@
 export class TargetTable {
   #byId = new Map<string, TargetState>();
   #byService = new Map<string, TargetState[]>();
+  readonly #leaving = new LeavingTargets();
+  readonly #returnSpread: () => number;
+
+  /**
+   * @param options `returnSpread` returns a number from 0 to 1 that spreads the
+   * return of the hosts to a target that wanted no requests. Default: 0.
+   */
+  constructor(
+    { returnSpread = () => 0 }: { returnSpread?: () => number } = {},
+  ) {
+    this.#returnSpread = returnSpread;
+  }
 
   /** Returns the targets of a service, including draining ones. */
   ofService(service: string): readonly TargetState[] {
@@ -111,6 +129,9 @@
     }
     this.remove(registration.id);
     const state = new TargetState(registration, nowMs);
+    if (this.#leaving.has(instanceOf(registration))) {
+      state.availability.recordLeaving();
+    }
     this.#byId.set(registration.id, state);
     const { service } = registration;
     this.#byService.set(service, [...this.ofService(service), state]);
@@ -129,6 +150,42 @@
     else this.#byService.set(service, remaining);
   }
 
+  /** Records what a target states of its availability in a response. */
+  recordStatement(
+    { target, availability }: TargetState,
+    statement: AvailabilityStatement,
+    nowMs: number,
+  ): void {
+    availability.recordStatement(statement, this.#returnSpread(), nowMs);
+    if (statement.isLeaving) this.#leaving.record(instanceOf(target), nowMs);
+  }
+
+  /**
+   * Records an instance that has told another host that it is leaving. Returns
+   * whether that was new to this host.
+   */
+  recordLeaving(instance: TargetInstance, nowMs: number): boolean {
+    if (!this.#leaving.record(instance, nowMs)) return false;
+    const state = this.#byId.get(instance.targetId);
+    if (state?.target.startedMs === instance.startedMs) {
+      state.availability.recordLeaving();
+    }
+    return true;
+  }
+
+  /** Reports all leaving instances again, as a host has lost its state. */
+  repeatLeavingReports(nowMs: number): void {
+    this.#leaving.repeatReports(nowMs);
+  }
+
+  /** Returns the leaving instances that the store still lists as ready. */
+  createLeavingReport(nowMs: number): TargetInstance[] {
+    return this.#leaving.createReport(({ targetId, startedMs }) => {
+      const target = this.#byId.get(targetId)?.target;
+      return target?.startedMs === startedMs && !target.isDraining;
+    }, nowMs);
+  }
+
   /**
    * Records the start of an attempt on a target.
    *
@@ -143,6 +200,7 @@
     if (keyHash !== undefined) state.warmKeys.add(keyHash, nowMs);
     if (state.isInColdStart(nowMs)) state.coldStartLimit.takeToken(nowMs);
     state.statedLimit.takeToken(nowMs);
+    state.availability.recordStart(nowMs);
     if (state.health.needsTrialAttempt) state.health.beginTrialAttempt(nowMs);
     const start = { atMs: nowMs };
     state.inFlightStarts.add(start);
@@ -157,7 +215,11 @@
   ): void {
     if (!state.inFlightStarts.delete(start)) return;
     state.load.inFlightAttempts -= 1;
-    state.health.recordOutcome(end.outcome, nowMs);
+    if (end.outcome === "shed" && state.availability.isRefusing(nowMs)) {
+      // The target has stated until when it refuses, which is no failure.
+      state.health.recordResponse(nowMs);
+    } else state.health.recordOutcome(end.outcome, nowMs);
+    state.availability.recordEnd(end.outcome, nowMs);
     if (end.load !== undefined) state.load.recordReport(end.load, nowMs);
     if (statesLimit(end)) {
       state.statedLimit.recordResponse(end.limitPerS, nowMs);
@@ -171,6 +233,11 @@
   }
 }
 
+/** Returns the instance that a registration describes. */
+function instanceOf({ id, startedMs }: Target): TargetInstance {
+  return { targetId: id, startedMs };
+}
+
 /**
  * Whether an attempt ended with a response of its target that states a limit or
  * its end. A failure without a limit states neither, as a target in need may
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -8,6 +8,7 @@
 import { Quotas } from "../../core/limits/quotas.ts";
 import { Membership } from "../../core/membership/membership.ts";
 import { CandidateCache } from "../../core/membership/candidate_cache.ts";
+import { mayServe } from "../../core/membership/restart_gate.ts";
 import type { HostState } from "../../core/membership/types.ts";
 import { Releases } from "../../core/release/releases.ts";
 import { VersionCounts } from "../../core/release/version_counts.ts";
@@ -133,7 +134,7 @@
       log.warn("object_unreadable", { kind, reason }),
   });
   const membership = new Membership(self);
-  const targets = new TargetTable();
+  const targets = new TargetTable({ returnSpread: random });
   const counts = new VersionCounts();
   const releases = new Releases(counts, () => options.settings.current.bounds);
   const quotas = new Quotas({
@@ -207,6 +208,7 @@
     documentVersion: () => applier.document?.version ?? 0,
     log,
     nowMs,
+    onTargetLeaving: (address) => pool.closeIdle(address),
     onCrashReport: (crash) =>
       handler.dispatch({ type: "suspicion_received", ...crash }),
     requestReport: () => reportExchange.requestReport(),
@@ -241,6 +243,17 @@
       log.event("target_limit", { target: id, service, limitPerS });
       reportExchange.requestReport();
     },
+    onStatement({ id, service, address }, statement, { isNew }) {
+      if (!isNew) return;
+      const { isLeaving, refusesForMs } = statement;
+      if (refusesForMs > 0) {
+        log.event("target_refuses", { target: id, service, refusesForMs });
+      }
+      if (!isLeaving) return;
+      log.event("target_leaving", { target: id, service });
+      pool.closeIdle(address);
+      reportExchange.requestReport();
+    },
   });
   let generatedIds = 0;
   const handler = new RequestHandler({
@@ -327,16 +340,32 @@
     isStopping: () => gracefulStop.phaseAt(nowMs()) !== "serving",
   });
 
+  let listeningMs = Infinity;
+
+  function isInformed(atMs: number): boolean {
+    return mayServe({
+      isFirstStart: settings.firstStart,
+      hasPeerReport: membership.hasReports,
+      listeningMs,
+    }, atMs);
+  }
+
   function hostState(): HostState {
-    if (gracefulStop.phaseAt(nowMs()) !== "serving") return "leaving";
-    return applier.document === undefined ? "starting" : "ready";
+    const atMs = nowMs();
+    if (gracefulStop.phaseAt(atMs) !== "serving") return "leaving";
+    const isReady = applier.document !== undefined && isInformed(atMs);
+    return isReady ? "ready" : "starting";
   }
 
   function findHostRefusal(atMs: number): RefusalReason | undefined {
     const phase = gracefulStop.phaseAt(atMs);
-    return phase === "refusing" || phase === "ended"
-      ? { kind: "host_leaving", reason: "this host is stopping" }
-      : undefined;
+    if (phase === "refusing" || phase === "ended") {
+      return { kind: "host_leaving", reason: "this host is stopping" };
+    }
+    return isInformed(atMs) ? undefined : {
+      kind: "host_starting",
+      reason: "no other host has reported to this one yet",
+    };
   }
 
   function reload(): void {
@@ -389,6 +418,7 @@
     seeds: settings.seeds.filter((seed) => seed !== self.peerAddress),
     hasDocument: () => applier.document !== undefined,
   });
+  listeningMs = nowMs();
   log.event("listening", { callers: addresses.callers });
 
   let stopping: Promise<void> | undefined;
--- a/src/node/entry/fleet_reports.ts
+++ b/src/node/entry/fleet_reports.ts
@@ -7,7 +7,11 @@
 import type { Quotas } from "../../core/limits/quotas.ts";
 import type { Membership } from "../../core/membership/membership.ts";
 import type { CrashReport, HostReport } from "../../core/membership/report.ts";
-import type { HostAddress, HostState } from "../../core/membership/types.ts";
+import type {
+  HostAddress,
+  HostRecord,
+  HostState,
+} from "../../core/membership/types.ts";
 import {
   summarizeZone,
   type ZoneSummary,
@@ -16,6 +20,7 @@
 import type { StoppedVersion } from "../../core/release/types.ts";
 import type { VersionCounts } from "../../core/release/version_counts.ts";
 import type { StoreReport } from "../../core/store/store_availability.ts";
+import type { TargetInstance } from "../../core/targets/leaving_targets.ts";
 import {
   createLimitReport,
   recordLimitReport,
@@ -51,6 +56,8 @@
   readonly documentVersion: () => number;
   readonly log: Log;
   readonly nowMs: () => number;
+  /** Called with the address of a target that told another host it leaves. */
+  readonly onTargetLeaving: (address: string) => void;
   /** Called when another host has reported a crash of a target. */
   readonly onCrashReport: (crash: CrashReport) => void;
   /** Requests a report at once, as other hosts have to learn of a change. */
@@ -62,6 +69,8 @@
   readonly #options: FleetReportsOptions;
   readonly #reports = new Map<string, HostReport>();
   readonly #peerStatuses = new Map<string, PeerStatus>();
+  /** Start of the last known process of each host. */
+  readonly #peerStartsMs = new Map<string, number>();
   readonly #blockedFingerprints = new Set<string>();
   #recordedCrashes: { crash: CrashReport; recordedMs: number }[] = [];
   #sequence = 0;
@@ -96,6 +105,7 @@
       stopped: releases.getStoppedVersions(),
       releases: releases.getProgress(atMs),
       limits: createLimitReport(targets, atMs),
+      leavingTargets: targets.createLeavingReport(atMs),
       crashReports: this.#recordedCrashes
         .filter((recorded) =>
           atMs - recorded.recordedMs < CRASH_REPORT_DURATION_MS
@@ -138,7 +148,7 @@
     const { record, positions, documentVersion, store } = report;
     const { id, peerAddress, startedMs, availabilityZone } = record;
     if (!membership.recordReport(record, nowMs())) return;
-    this.#detectNewPeer(id, record.state);
+    this.#detectNewPeer(record);
     this.#reports.set(id, report);
     const atMs = nowMs();
     this.#peerStatuses.set(id, {
@@ -155,6 +165,7 @@
     }
     releases.recordProgress(report.releases, atMs);
     this.#recordLimits(report.limits, id);
+    this.#recordLeaving(report.leavingTargets, id);
     this.#mergeStopsAndCrashes(report, id);
   }
 
@@ -166,7 +177,7 @@
     for (const { record, store = NON_WATCHER_REPORT } of summary.hosts) {
       if (!membership.recordReport(record, atMs)) continue;
       const { id, peerAddress } = record;
-      this.#detectNewPeer(id, record.state);
+      this.#detectNewPeer(record);
       const isAuthor = id === authorId;
       const positions = isAuthor ? summary.positions : new Map();
       this.#peerStatuses.set(id, {
@@ -182,6 +193,7 @@
     counts.setZoneCounts(availabilityZone, summary.counts);
     releases.recordProgress(summary.releases, atMs);
     this.#recordLimits(summary.limits, authorId);
+    this.#recordLeaving(summary.leavingTargets, authorId);
     this.#mergeStopsAndCrashes(summary, authorId);
   }
 
@@ -227,7 +239,13 @@
     return true;
   }
 
-  #detectNewPeer(id: string, state: HostState): void {
+  #detectNewPeer({ id, state, startedMs }: HostRecord): void {
+    const { targets, nowMs, requestReport } = this.#options;
+    if (this.#peerStartsMs.get(id) === startedMs) return;
+    this.#peerStartsMs.set(id, startedMs);
+    // A process that has just started does not know which targets are leaving.
+    targets.repeatLeavingReports(nowMs());
+    if (targets.createLeavingReport(nowMs()).length > 0) requestReport();
     if (this.#peerStatuses.has(id)) return;
     this.#options.log.event("host_met", { peer: id, state });
     this.updateQuotaPeers();
@@ -248,6 +266,29 @@
     }
   }
 
+  #recordLeaving(
+    instances: readonly TargetInstance[],
+    reporterId: string,
+  ): void {
+    const { targets, log, nowMs, onTargetLeaving, requestReport } =
+      this.#options;
+    let hasNewEntries = false;
+    for (const instance of instances) {
+      if (!targets.recordLeaving(instance, nowMs())) continue;
+      hasNewEntries = true;
+      const target = targets.get(instance.targetId)?.target;
+      log.event("target_leaving", {
+        target: instance.targetId,
+        service: target?.service,
+        from: reporterId,
+      });
+      if (target?.startedMs === instance.startedMs) {
+        onTargetLeaving(target.address);
+      }
+    }
+    if (hasNewEntries) requestReport();
+  }
+
   #mergeStopsAndCrashes(
     { stopped, crashReports }: {
       stopped: readonly StoppedVersion[];
--- a/src/node/entry/request_dependencies.ts
+++ b/src/node/entry/request_dependencies.ts
@@ -14,7 +14,7 @@
 import { RouteSizes } from "../../core/balance/route_sizes.ts";
 import { TrafficSplitter } from "../../core/balance/traffic_splitter.ts";
 import {
-  findLimitDelayMs,
+  findStatedDelayMs,
   findUsableTargets,
   type UsabilityInputs,
 } from "../../core/balance/usable_targets.ts";
@@ -31,6 +31,7 @@
   RetryBudget,
 } from "../../core/retry/retry_budget.ts";
 import type { SenderCandidates } from "../../core/targets/rate_share.ts";
+import type { AvailabilityStatement } from "../../core/targets/stated_availability.ts";
 import { ServiceTimes } from "../../core/targets/service_times.ts";
 import type {
   TargetState,
@@ -66,6 +67,15 @@
     target: Target,
     limitPerS: number | undefined,
   ) => void;
+  /**
+   * Called with what a target states of its availability. `isNew` is false if it
+   * only states again that it is leaving.
+   */
+  readonly onStatement: (
+    target: Target,
+    statement: AvailabilityStatement,
+    options: { isNew: boolean },
+  ) => void;
 }
 
 /** Dependencies of the pipeline that can be reconfigured. */
@@ -171,11 +181,11 @@
       const fallbackRule = releases.getVersionRule(service, route.id, 1);
       return findUsableByRule(request, fallbackRule, nowMs);
     },
-    findLimitDelayMs(request, nowMs) {
+    findStatedDelayMs(request, nowMs) {
       const { service, route } = request;
       // As above, any version but the one under release may be used.
       const versionRule = releases.getVersionRule(service, route.id, 1);
-      return findLimitDelayMs(
+      return findStatedDelayMs(
         targets.ofService(service),
         usabilityInputs(request, versionRule),
         nowMs,
@@ -213,6 +223,15 @@
       const { limitPerS } = statedLimit;
       if (limitPerS !== previousPerS) options.onLimitChanged(target, limitPerS);
     },
+    recordStatement({ state }, statement, nowMs) {
+      const { availability, target } = state;
+      const wasLeaving = availability.isLeaving;
+      targets.recordStatement(state, statement, nowMs);
+      options.onStatement(target, statement, {
+        isNew: availability.isLeaving !== wasLeaving ||
+          statement.refusesForMs > 0,
+      });
+    },
     recordUnreachable: (id, nowMs) =>
       targets.get(id)?.health.recordOutcome("unreachable", nowMs),
     recordVersionResult({ service, route }, { target }, { isBad }) {
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -269,6 +269,8 @@
         idempotent: route.idempotent,
       },
       listener: {
+        onStatement: (statement) =>
+          this.dispatch({ type: "target_stated", requestId: id, statement }),
         onStreamStarted: (head) => {
           this.dispatch({ type: "response_started", requestId: id });
           startStreamedResponse(exchange.res, head, this.#responseOptions());
--- a/src/node/header_names.ts
+++ b/src/node/header_names.ts
@@ -25,6 +25,13 @@
   readonly load: string;
   /** Requests per second that a target accepts from all hosts together. */
   readonly limitPerS: string;
+  /** Present with the value 1 on all responses of a target that is leaving. */
+  readonly leaving: string;
+  /**
+   * Seconds for which a target that responds with 503 wants no requests from the
+   * host.
+   */
+  readonly retryAfterS: string;
   /** Remaining cold start of a target in milliseconds. */
   readonly coldForMs: string;
 }
--- a/src/node/peer/report_codec.ts
+++ b/src/node/peer/report_codec.ts
@@ -127,6 +127,7 @@
       blames: summary.crashReports.map((crash) => ({ ...crash })),
       releases: releasesToMessage(summary.releases),
       limits: limitsToMessage(summary.limits),
+      leaving: summary.leavingTargets.map((instance) => ({ ...instance })),
     }),
   );
 }
@@ -165,6 +166,7 @@
     crashReports: message.blames,
     releases: releasesFromMessage(message.releases),
     limits: limitsFromMessage(message.limits),
+    leavingTargets: message.leaving,
   };
 }
 
@@ -187,6 +189,7 @@
     blames: report.crashReports.map((crash) => ({ ...crash })),
     releases: releasesToMessage(report.releases),
     limits: limitsToMessage(report.limits),
+    leaving: report.leavingTargets.map((instance) => ({ ...instance })),
     store: storeReportToMessage(report.store),
   });
 }
@@ -293,6 +296,7 @@
     crashReports: message.blames,
     releases: releasesFromMessage(message.releases),
     limits: limitsFromMessage(message.limits),
+    leavingTargets: message.leaving,
     store: storeReportFromMessage(message.store),
   };
 }
--- a/src/node/peer/report_codec_test.ts
+++ b/src/node/peer/report_codec_test.ts
@@ -26,6 +26,7 @@
       { targetId: "t1", startedMs: 5, limitPerS: n, ageMs: 100 * n },
       { targetId: `u${n}`, startedMs: 6, limitPerS: undefined, ageMs: 20 },
     ],
+    leavingTargets: [{ targetId: "t2", startedMs: 8 }],
     store: { watches, isFailing: false, ageMs: 20, sinceReturnMs: Infinity },
     crashReports: [{ fingerprint: "f", targetId: "t" }],
   };
--- a/src/node/peer/report_exchange_test.ts
+++ b/src/node/peer/report_exchange_test.ts
@@ -31,6 +31,7 @@
     stopped: [],
     releases: [],
     limits: [],
+    leavingTargets: [],
     store: {
       watches: false,
       isFailing: false,
--- a/src/node/target/attempt.ts
+++ b/src/node/target/attempt.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { classifyResponse } from "../../core/request/outcomes.ts";
+import type { AvailabilityStatement } from "../../core/targets/stated_availability.ts";
 import type { AttemptOutcome, LoadReport } from "../../core/targets/types.ts";
 import type { HeaderNames } from "../header_names.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
@@ -50,6 +51,8 @@
 
 /** Receives the progress and the result of an attempt. */
 export interface AttemptListener {
+  /** A response states the availability of its target. */
+  onStatement(statement: AvailabilityStatement): void;
   /** The response is too large to buffer and is streamed from now on. */
   onStreamStarted(head: ResponseHead): void;
   /** Receives a chunk of it. Returns false to pause until `resumeStream`. */
@@ -161,8 +164,34 @@
   #handleHead(head: ResponseHead): void {
     const { headerNames, request } = this.#options;
     const echoedId = findHeader(head, headerNames.requestId);
+    // Without an id, a response on a connection that has carried other requests
+    // may be a late one to one of them, such as a refusal that was repeated.
+    if (echoedId === undefined && this.#connection?.requestCount !== 1) {
+      return this.#endAsBroken("response without an id on a used connection");
+    }
     this.#isSkipping = echoedId !== undefined && echoedId !== request.requestId;
     if (!this.#isSkipping) this.#head = head;
+    this.#passStatement(head);
+  }
+
+  /**
+   * Passes on what a response states of the availability of its target, as soon
+   * as its head was received, whatever follows. A response with status 421 comes
+   * from another target. A late response to an earlier request still tells that
+   * the target leaves, but not from when on it wants no requests.
+   */
+  #passStatement(head: ResponseHead): void {
+    const { headerNames, listener } = this.#options;
+    if (head.status === 421) return;
+    const statement = {
+      isLeaving: findHeader(head, headerNames.leaving) === "1",
+      refusesForMs: head.status === 503 && !this.#isSkipping
+        ? parseRetryAfterMs(findHeaders(head, headerNames.retryAfterS))
+        : 0,
+    };
+    if (statement.isLeaving || statement.refusesForMs > 0) {
+      listener.onStatement(statement);
+    }
   }
 
   #handleBody(chunk: Buffer): void {
@@ -272,12 +301,29 @@
 
 /** Finds the value of a header; an empty name is never found. */
 function findHeader(head: ResponseHead, name: string): string | undefined {
-  if (name === "") return undefined;
-  const { rawHeaders } = head;
+  return findHeaders(head, name)[0];
+}
+
+/** Finds all values of a header. */
+function findHeaders({ rawHeaders }: ResponseHead, name: string): string[] {
+  if (name === "") return [];
+  const values: string[] = [];
   for (let i = 0; i < rawHeaders.length; i += 2) {
-    if (rawHeaders[i].toLowerCase() === name) return rawHeaders[i + 1];
+    if (rawHeaders[i].toLowerCase() === name) values.push(rawHeaders[i + 1]);
   }
-  return undefined;
+  return values;
+}
+
+const RETRY_AFTER = /^\d{1,15}(?:\.\d{1,9})?$/;
+
+/**
+ * Parses the values of `retry-after` in seconds. The longest counts; values that
+ * are malformed or negative, and dates, are ignored.
+ */
+function parseRetryAfterMs(values: readonly string[]): number {
+  const timesMs = values.filter((value) => RETRY_AFTER.test(value))
+    .map((value) => Number(value) * 1_000);
+  return Math.max(0, ...timesMs);
 }
 
 const LOAD_REPORT = /^(\d{1,9}),(\d{1,9}),(\d{1,9})$/;
--- a/src/node/target/attempt_test.ts
+++ b/src/node/target/attempt_test.ts
@@ -4,6 +4,7 @@
 import { PLATFORM_HEADERS as NAMES } from "../../../platform/names.ts";
 import { waitFor } from "../../testing/processes.ts";
 import { openSnapshots } from "../../testing/snapshot.ts";
+import type { AvailabilityStatement } from "../../core/targets/stated_availability.ts";
 import { monotonicMs } from "../clock.ts";
 import { Attempt, type OutgoingRequest } from "./attempt.ts";
 import { ConnectionPool } from "./connection_pool.ts";
@@ -39,6 +40,7 @@
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   const { port } = server.address() as { port: number };
   const pool = new ConnectionPool({ nowMs: monotonicMs });
+  const statements: AvailabilityStatement[] = [];
   t.after(() => {
     pool.close();
     for (const socket of sockets) socket.destroy();
@@ -61,13 +63,14 @@
           ...options,
         },
         listener: {
+          onStatement: (statement) => statements.push(statement),
           onStreamStarted() {},
           onStreamData: () => true,
           onEnded: resolve,
         },
       }).start();
     });
-  return { send, connectionCount: () => connectionCount };
+  return { send, statements, connectionCount: () => connectionCount };
 }
 
 function formatResult(
@@ -177,6 +180,7 @@
         idempotent: false,
       },
       listener: {
+        onStatement() {},
         onStreamStarted() {},
         onStreamData: () => true,
         onEnded: resolve,
@@ -250,3 +254,81 @@
   }
   matchSnapshot(t, results);
 });
+
+// Guards against a refusal to an earlier request, written once more on a kept
+// connection without an id, that is taken for the response to the next request:
+// the caller would be told that it has not run.
+test("a response without an id counts on a new connection only", async (t) => {
+  const refusal =
+    `HTTP/1.1 503 E\r\n${NAMES.notRun}: 1\r\nContent-Length: 0\r\n\r\n`;
+  const results: Record<string, string> = {};
+  for (
+    const [name, repeated] of [
+      ["repeated without an id", refusal],
+      [
+        "repeated with its id",
+        refusal.replace("\r\n", `\r\n${NAMES.requestId}: r1\r\n`),
+      ],
+    ]
+  ) {
+    const { send } = await startTarget(t, (socket, requestCount) => {
+      if (requestCount === 1) return void socket.write(refusal);
+      socket.write(repeated);
+      socket.write(formatResponse("r2", "own"));
+    });
+    const first = formatResult(await send({ requestId: "r1" }));
+    // The connection is kept after a turn of the event loop.
+    await new Promise((done) => setTimeout(done, 20));
+    const second = formatResult(await send({ requestId: "r2" }));
+    results[name] = `${first}; ${second}`;
+  }
+  matchSnapshot(t, results);
+});
+
+// Guards against what a target states of itself that is missed in some responses
+// or believed from another target, and against absurd times.
+test("statements of a target are passed on", async (t) => {
+  const leaving = `${NAMES.leaving}: 1\r\n`;
+  const refuse = (headers: string) =>
+    `HTTP/1.1 503 E\r\n${NAMES.notRun}: 1\r\n${headers}` +
+    "Content-Length: 0\r\n\r\n";
+  const retryAfter = (value: string) => `${NAMES.retryAfterS}: ${value}\r\n`;
+  const responses: Record<string, string> = {
+    "leaving, answered": formatResponse("r1", "a", leaving),
+    "leaving, other value": formatResponse(
+      "r1",
+      "a",
+      `${NAMES.leaving}: 0\r\n`,
+    ),
+    "leaving, refused": refuse(leaving),
+    "leaving, misdirected": `HTTP/1.1 421 E\r\n${leaving}` +
+      "Content-Length: 0\r\n\r\n",
+    "leaving, late response": formatResponse("r0", "a", leaving) +
+      formatResponse("r1", "b"),
+    "leaving, cut off": formatResponse("r1", "abc", leaving).slice(0, -1),
+    "retry after": refuse(retryAfter("4")),
+    "retry after, fraction": refuse(retryAfter("0.5")),
+    "retry after, negative": refuse(retryAfter("-4")),
+    "retry after, text": refuse(retryAfter("soon")),
+    "retry after, date": refuse(retryAfter("Sat, 05 Dec 2026 04:20:00 GMT")),
+    "retry after, huge": refuse(retryAfter("999999999999999")),
+    "retry after, too long": refuse(retryAfter("9".repeat(400))),
+    "retry after, repeated": refuse(retryAfter("2") + retryAfter("7")),
+    "retry after, answered": formatResponse("r1", "a", retryAfter("4")),
+    "retry after, late response": refuse(
+      `${NAMES.requestId}: r0\r\n${retryAfter("4")}`,
+    ) + formatResponse("r1", "b"),
+  };
+  const results: Record<string, string> = {};
+  for (const [name, response] of Object.entries(responses)) {
+    const { send, statements } = await startTarget(t, (socket) => {
+      if (name.endsWith("cut off")) socket.end(response);
+      else socket.write(response);
+    });
+    await send();
+    results[name] = statements.map(({ isLeaving, refusesForMs }) =>
+      `leaving=${isLeaving} refuses for ${refusesForMs} ms`
+    ).join("; ");
+  }
+  matchSnapshot(t, results);
+});
