Let the priority of an organisation precede that of its routes

The document has had the priority, but admission control read only the route's. A request of an organisation with a priority is now less urgent than others by that, whatever its route states.

--- a/src/core/balance/admission.ts
+++ b/src/core/balance/admission.ts
@@ -47,6 +47,23 @@
   readonly retryAfterMs: number;
 }
 
+/** Priorities that apply to a request; 0 is the most urgent. */
+export interface PriorityInputs {
+  readonly routePriority: number;
+  /** Takes precedence over that of the route; `undefined` if not stated. */
+  readonly organisationPriority: number | undefined;
+  /** Priority of the service's most urgent route; `undefined` without one. */
+  readonly topPriority: number | undefined;
+}
+
+/** Whether a request is less urgent than the service's most urgent route. */
+export function isLowPriority(
+  { routePriority, organisationPriority, topPriority }: PriorityInputs,
+): boolean {
+  const priority = organisationPriority ?? routePriority;
+  return priority > (topPriority ?? priority);
+}
+
 /** Returns the refusal of a request, or `undefined` if it is admitted. */
 export function checkAdmission(
   inputs: AdmissionInputs,
--- a/src/core/balance/admission_test.ts
+++ b/src/core/balance/admission_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { sampleRegistration } from "../../testing/samples.ts";
 import { TargetState } from "../targets/target_table.ts";
-import { checkAdmission } from "./admission.ts";
+import { checkAdmission, isLowPriority } from "./admission.ts";
 
 const state = new TargetState(sampleRegistration(), 0);
 
@@ -58,3 +58,16 @@
   };
   assert.equal(check(assumed), undefined);
 });
+
+// Guards against an organisation whose stated priority changes nothing.
+test("the priority of an organisation precedes that of the route", () => {
+  const isLow = (
+    organisationPriority: number | undefined,
+    topPriority: number | undefined,
+  ) => isLowPriority({ routePriority: 2, organisationPriority, topPriority });
+  assert.equal(isLow(undefined, 1), true);
+  assert.equal(isLow(1, 1), false);
+  assert.equal(isLow(0, 1), false);
+  assert.equal(isLow(3, 1), true);
+  assert.equal(isLow(3, undefined), false);
+});
--- a/src/node/entry/request_dependencies.ts
+++ b/src/node/entry/request_dependencies.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { ApiKeyTable } from "../../core/auth/api_key_table.ts";
-import { checkAdmission } from "../../core/balance/admission.ts";
+import { checkAdmission, isLowPriority } from "../../core/balance/admission.ts";
 import {
   chooseTarget,
   type DistanceCosts,
@@ -253,7 +253,7 @@
       ),
     isBlocked: options.isBlocked,
     checkAdmission(
-      { deadlineMs, arrivedMs, route, service },
+      { deadlineMs, arrivedMs, route, organisation, service },
       candidate,
       nowMs,
     ) {
@@ -263,8 +263,11 @@
         remainingMs: deadlineMs - nowMs,
         remainingObjectiveMs: objectiveMs - (nowMs - arrivedMs),
         objectiveMs,
-        isLowPriority:
-          route.priority > (topPriorities.get(service) ?? route.priority),
+        isLowPriority: isLowPriority({
+          routePriority: route.priority,
+          organisationPriority: organisation?.priority,
+          topPriority: topPriorities.get(service),
+        }),
       });
     },
     random: options.random,
