Keep the back-off when a kind of objects is asked to catch up

Cause, seen when the stand-in of the store failed for one kind only: each answer for another kind counted as the return of the store and woke the follower in back-off, which failed again, 30 to 98 calls a second. A store that refuses some calls, as it does above its rate at the start of a large fleet, got more of them.

Change: a follower whose last call failed catches up after its back-off.

--- a/src/node/store/kind_follower.ts
+++ b/src/node/store/kind_follower.ts
@@ -98,12 +98,14 @@
   }
 
   /**
-   * Fetches changes from the store at once, when another host holds later ones
-   * or the store has recovered.
+   * Fetches changes from the store, when another host holds later ones or the
+   * store has recovered: at once, or after the back-off if the last call has
+   * failed. A store that answers the calls for one kind and refuses those for
+   * another would otherwise get calls without a pause.
    */
   catchUp(): void {
     this.#mustCatchUp = true;
-    this.#wakeController.abort();
+    if (this.#failureCount === 0) this.#wakeController.abort();
   }
 
   /** Lists the objects at once, as the store was restored from a copy. */
--- a/src/node/store/kind_follower_test.ts
+++ b/src/node/store/kind_follower_test.ts
@@ -19,11 +19,13 @@
 
 /** Follows a store with the given behaviour and returns the calls to it. */
 async function follow(
-  { position, watch, durationMs }: {
+  { position, watch, durationMs, catchUpIntervalMs }: {
     /** Position of each list. */
     position: () => StorePosition;
     watch: ObjectStore["watch"];
     durationMs: number;
+    /** Time between two requests to catch up; none if absent. */
+    catchUpIntervalMs?: number;
   },
 ) {
   const view = new KindView();
@@ -61,7 +63,11 @@
     onFailure() {},
   });
   const stop = follower.start();
+  const timer = catchUpIntervalMs === undefined
+    ? undefined
+    : setInterval(() => follower.catchUp(), catchUpIntervalMs);
   await sleep(durationMs);
+  clearInterval(timer);
   stop();
   return { view, listCount, watchCount };
 }
@@ -89,6 +95,18 @@
   assert.ok(listCount <= watchCount + 1, `${listCount} lists`);
 });
 
+// Guards against a host that floods a store which refuses the calls for one kind
+// and answers those for others: each answer asks all kinds to catch up.
+test("requests to catch up do not cut the back-off short", async () => {
+  const { watchCount } = await follow({
+    position: () => ({ epoch: 1, revision: 5 }),
+    watch: () => Promise.reject(new StoreError("refused", "status 429")),
+    durationMs: 1_000,
+    catchUpIntervalMs: 10,
+  });
+  assert.ok(watchCount >= 2 && watchCount <= 6, `${watchCount} watches`);
+});
+
 // Guards against a delay of the first list after a lost history, which is the
 // usual case.
 test("one lost history is replaced by a list at once", async () => {
