--- a/src/node/target/response_parser_test.ts
+++ b/src/node/target/response_parser_test.ts
@@ -64,6 +64,12 @@
   "no body with 204": ["HTTP/1.1 204 No Content\r\n\r\n"],
   "HTTP/1.0": ["HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n"],
   "Connection: close": [`${OK}Connection: close\r\nContent-Length: 0\r\n\r\n`],
+  "Connection: several options": [
+    `${OK}Connection: x-a, Close\r\nContent-Length: 0\r\n\r\n`,
+  ],
+  "Connection: another option": [
+    `${OK}Connection: not-close\r\nContent-Length: 0\r\n\r\n`,
+  ],
   "truncated headers": [`${OK}Content-`, { close: true }],
   "truncated content-length body": [
     `${OK}Content-Length: 3\r\n\r\nab`,
