--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -4,7 +4,6 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { PipelineDependencies } from "../../core/request/dependencies.ts";
 import {
@@ -20,7 +19,11 @@
 import { createRefusal } from "../../core/errors.ts";
 import { countHeaderBytes, formatRequestHead } from "../front/headers.ts";
 import { RequestBody } from "../front/request_body.ts";
-import { parseRequestTarget } from "../front/request_target.ts";
+import {
+  findHeader,
+  hashApiKey,
+  readRequestHead,
+} from "../front/request_head.ts";
 import {
   startStreamedResponse,
   writeBufferedResponse,
@@ -406,38 +409,3 @@
     for (const resolve of this.#idleCallbacks.splice(0)) resolve();
   }
 }
-
-/** Reads what identifies a request, and checks it. */
-function readRequestHead(req: IncomingMessage, headerNames: HeaderNames) {
-  const ids = req.headersDistinct[headerNames.requestId] ?? [];
-  const target = parseRequestTarget(req.url ?? "/", req.headers.host ?? "");
-  const timeoutMs = Number(findHeader(req, headerNames.timeoutMs) ?? 0);
-  let malformation = "";
-  if (target === undefined) {
-    malformation = "the request target is neither a path nor an HTTP URI";
-  } else if (ids.length > 1) malformation = "the request has several ids";
-  else if (ids[0] === "") malformation = "the request id is empty";
-  else if (!Number.isFinite(timeoutMs)) {
-    malformation = "the deadline is not a number";
-  }
-  return {
-    requestId: malformation === "" ? ids[0] : undefined,
-    target: target ?? { host: "", path: req.url ?? "/" },
-    malformation,
-  };
-}
-
-const BEARER_TOKEN = /^Bearer +(\S+) *$/i;
-
-/** Returns the SHA-256 of the caller's API key in hex; "" without a key. */
-function hashApiKey(authorization: string | undefined): string {
-  const match = BEARER_TOKEN.exec(authorization ?? "");
-  if (match === null) return "";
-  return createHash("sha256").update(match[1]).digest("hex");
-}
-
-/** Returns the first value of a header. */
-function findHeader(req: IncomingMessage, name: string): string | undefined {
-  const value = req.headers[name];
-  return Array.isArray(value) ? value[0] : value;
-}
--- a/src/node/entry/request_handler_test.ts
+++ b/src/node/entry/request_handler_test.ts
@@ -6,7 +6,7 @@
 import type { PipelineDependencies } from "../../core/request/dependencies.ts";
 import { monotonicMs } from "../clock.ts";
 import { ConnectionPool } from "../target/connection_pool.ts";
-import type { Log } from "../telemetry/log.ts";
+import { createRecordingLog } from "../../testing/recording_log.ts";
 import { createMetrics } from "../telemetry/metrics.ts";
 import { loadTracing } from "../telemetry/tracing.ts";
 import { RequestHandler } from "./request_handler.ts";
@@ -16,14 +16,7 @@
 test("an unexpected error ends one request, not the process", {
   timeout: 20_000,
 }, async (t) => {
-  const warnings: string[] = [];
-  const log: Log = {
-    event() {},
-    warn: (name) => warnings.push(name),
-    request() {},
-    flush() {},
-    close() {},
-  };
+  const { log, warnings } = createRecordingLog();
   let requestCount = 0;
   const dependencies = {
     findHostRefusal() {
--- a/src/node/peer/report_exchange_test.ts
+++ b/src/node/peer/report_exchange_test.ts
@@ -6,7 +6,7 @@
 import type { HostReport } from "../../core/membership/report.ts";
 import type { HostAddress } from "../../core/membership/types.ts";
 import { monotonicMs } from "../clock.ts";
-import type { Log } from "../telemetry/log.ts";
+import { createRecordingLog } from "../../testing/recording_log.ts";
 import { createMetrics } from "../telemetry/metrics.ts";
 import { encodeDatagram } from "./report_codec.ts";
 import { ReportExchange } from "./report_exchange.ts";
@@ -56,14 +56,7 @@
     createHost("no-port", "nowhere"),
     createHost("good", `127.0.0.1:${port}`),
   ]);
-  const warnings: string[] = [];
-  const log: Log = {
-    event() {},
-    warn: (name) => warnings.push(name),
-    request() {},
-    flush() {},
-    close() {},
-  };
+  const { log, warnings } = createRecordingLog();
   const handled: string[] = [];
   const exchange = new ReportExchange({
     address: self.peerAddress,
