--- a/src/core/targets/stated_availability.ts
+++ b/src/core/targets/stated_availability.ts
@@ -48,7 +48,7 @@
     return nowMs < this.#refusesUntilMs;
   }
 
-  /** Records that the target is leaving, by its own word to any host. */
+  /** Records that the target has told any host that it is leaving. */
   recordLeaving(): void {
     this.#isLeaving = true;
   }
