Serve the callers of a host that has lost its path to the targets

Cause: a host judged each target by itself. It had no notion of its own path, so each request tried targets whose connections hung for 800 ms each, the host stayed in the lookups, and nothing let another host serve its requests. The class of fault is a local failure that is attributed to the other side. Ruled out by the logs: blocked requests and ejections on other hosts (none), and admission control (its refusals follow attempts that timed out).

Change: failed connections to several targets in several zones in a row mean a lost path; probes confirm or refute it. While it is lost, requests are relayed to hosts that report a path, with the attempts that are left, and lookups name such hosts. Request handling is split: attempt_starter.ts starts attempts on targets and hosts, target_path_monitor.ts has the connection checks.

--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -51,7 +51,10 @@
       if (!supersedes(record, peer.record, silenceMs)) return false;
     }
     this.#peers.set(record.id, { record, lastReportMs: nowMs });
-    if (peer?.record.state !== record.state) {
+    if (
+      peer?.record.state !== record.state ||
+      peer.record.hasTargetPath !== record.hasTargetPath
+    ) {
       this.#livePeersUpdatedMs = -Infinity;
     }
     return true;
--- a/src/core/membership/membership_test.ts
+++ b/src/core/membership/membership_test.ts
@@ -13,6 +13,7 @@
     startedMs: 1,
     sequence: 1,
     state: "ready",
+    hasTargetPath: true,
   };
 }
 
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -29,4 +29,6 @@
   /** Number of the report among those of its process; grows with each. */
   readonly sequence: number;
   readonly state: HostState;
+  /** Whether the host reaches targets; see `core/targets/target_path.ts`. */
+  readonly hasTargetPath: boolean;
 }
--- a/src/core/request/arrival.ts
+++ b/src/core/request/arrival.ts
@@ -23,6 +23,8 @@
 
 /**
  * Checks host state, headers, route, key, body length and quota, in this order.
+ * The quota is not checked for a relayed request, as the host that relays it has
+ * taken the token.
  */
 export function checkArrival(
   incoming: IncomingRequest,
@@ -67,7 +69,8 @@
       ...context,
     };
   }
-  const quotaDecision = organisation === undefined
+  const isRelayed = incoming.relayedAttempts !== undefined;
+  const quotaDecision = organisation === undefined || isRelayed
     ? undefined
     : dependencies.takeQuotaToken(organisation.id, nowMs);
   if (quotaDecision !== undefined && !quotaDecision.isAdmitted) {
@@ -150,13 +153,20 @@
     deadlineMs: nowMs + (limitMs === Infinity ? DEFAULT_TIMEOUT_MS : limitMs),
     keyHash: route.sticky && affinityKey !== "" ? keyHash : undefined,
     versionBucket: hashToUnitInterval(mix32(keyHash, VERSION_SALT)),
+    isRelayed: incoming.relayedAttempts !== undefined,
+    maxAttempts: Math.min(
+      route.maxAttempts,
+      incoming.relayedAttempts ?? Infinity,
+    ),
     phase: "reading",
     fingerprint: "",
     bodyBytes: Math.max(0, bodyBytes),
     countedAttempts: 0,
     mayHaveRun: false,
     triedTargetIds: [],
+    triedRelayHostIds: [],
     currentAttempt: undefined,
+    isRelayInFlight: false,
     hasResponseStarted: false,
     hasFailureResponse: false,
   };
--- a/src/core/request/dependencies.ts
+++ b/src/core/request/dependencies.ts
@@ -8,6 +8,7 @@
 import type { Candidate } from "../balance/choose_target.ts";
 import type { Document, Organisation, Route } from "../document/document.ts";
 import type { QuotaDecision } from "../limits/quotas.ts";
+import type { HostAddress } from "../membership/types.ts";
 import type { ExpectedServiceTime } from "../targets/service_times.ts";
 import type { AvailabilityStatement } from "../targets/stated_availability.ts";
 import type { InFlightAttempt, TargetState } from "../targets/target_table.ts";
@@ -105,5 +106,12 @@
     candidate: Candidate,
     nowMs: number,
   ): AdmissionRefusal | undefined;
+  /** Whether this host reaches no target. */
+  isTargetPathLost(): boolean;
+  /** Returns a host that reaches targets and may serve the request. */
+  chooseRelayHost(
+    request: RequestState,
+    nowMs: number,
+  ): HostAddress | undefined;
   readonly random: Random;
 }
--- a/src/core/request/pipeline_test.ts
+++ b/src/core/request/pipeline_test.ts
@@ -88,6 +88,8 @@
     takeRetryToken: () => true,
     isBlocked: () => false,
     checkAdmission: () => undefined,
+    isTargetPathLost: () => false,
+    chooseRelayHost: () => undefined,
     random: () => 0.5,
     ...options.dependencies,
   };
@@ -154,6 +156,10 @@
       const { kind, status, ran, retryAfterMs } = effect.refusal;
       return `${status} ${kind}, ran: ${ran}, retry after ${retryAfterMs} ms`;
     }
+    case "relay": {
+      const { host, maxAttempts, remainingMs } = effect;
+      return `relay to ${host.id}, ${maxAttempts} attempts, ${remainingMs} ms left`;
+    }
     case "check_target":
       return `check ${effect.target.id}`;
     case "block":
@@ -166,6 +172,20 @@
 
 const NOT_IDEMPOTENT = { idempotent: false };
 
+/** A host without a path to targets, and two others that have one. */
+const WITHOUT_PATH: Partial<PipelineDependencies> = {
+  isTargetPathLost: () => true,
+  chooseRelayHost: ({ triedRelayHostIds }) =>
+    ["host-1", "host-2"].filter((id) => !triedRelayHostIds.includes(id))
+      .map((id) => ({
+        id,
+        availabilityZone: "north-a",
+        region: "north",
+        callerAddress: `${id}:1`,
+        peerAddress: `${id}:2`,
+      }))[0],
+};
+
 /** Outcomes of successive attempts. */
 const OUTCOME_CASES: Record<
   string,
@@ -386,3 +406,54 @@
   const blocked = pipeline.effectLog.filter((line) => line.startsWith("block"));
   assert.deepEqual(blocked, ["block stock/drivers/hash"]);
 });
+
+// Guards against a host that tries targets that it cannot reach, and against
+// relayed requests that run twice or make more attempts than their route allows.
+test("a host without a path to targets relays its requests", (t) => {
+  const relay = (
+    outcomes: AttemptOutcome[],
+    options: PipelineOptions & { isSent?: boolean } = {},
+  ) => {
+    const pipeline = createTestPipeline({
+      ...options,
+      dependencies: { ...WITHOUT_PATH, ...options.dependencies },
+    });
+    pipeline.arrive();
+    outcomes.forEach((outcome, i) =>
+      pipeline.endAttempt(outcome, (i + 1) * 50, options.isSent)
+    );
+    return [...pipeline.effectLog, ...pipeline.recordLog];
+  };
+  const three = { maxAttempts: 3 };
+  matchSnapshot(t, {
+    "answered": relay(["answered"]),
+    "other host unreachable": relay(["unreachable", "answered"], {
+      isSent: false,
+    }),
+    "other host refuses": relay(["shed", "shed"]),
+    "broken, idempotent": relay(["broken"], { route: three }),
+    "other host fails, idempotent": relay(["failed"], { route: three }),
+    "broken, not idempotent": relay(["broken"], {
+      route: { ...three, ...NOT_IDEMPOTENT },
+    }),
+    "no host has a path": relay([], {
+      dependencies: { chooseRelayHost: () => undefined },
+    }),
+    "a relayed request": relay([], { incoming: { relayedAttempts: 1 } }),
+  });
+});
+
+// Guards against a quota token that two hosts take for one request, and against
+// one that is given back twice.
+test("a relayed request takes no quota token", () => {
+  const pipeline = createTestPipeline({
+    incoming: { relayedAttempts: 2 },
+    targetCount: 0,
+    dependencies: {
+      takeQuotaToken: () => assert.fail("a token was taken"),
+    },
+  });
+  pipeline.arrive();
+  assert.match(pipeline.effectLog[0], /^503 no_target, ran: no/);
+  assert.deepEqual(pipeline.recordLog, []);
+});
--- a/src/core/request/retry_decision.ts
+++ b/src/core/request/retry_decision.ts
@@ -32,7 +32,7 @@
     nowMs: number;
   },
 ): boolean {
-  const { route, triedTargetIds } = request;
+  const { route, triedTargetIds, triedRelayHostIds, maxAttempts } = request;
   if (!canResend || request.deadlineMs <= nowMs) return false;
   const isKnownNotRun = provesNotRun(outcome, mayHaveReachedTarget);
   if (!isKnownNotRun && !route.idempotent) return false;
@@ -41,10 +41,9 @@
   if (!mayHaveReachedTarget || outcome === "misdirected") {
     request.countedAttempts -= 1;
   }
-  if (request.countedAttempts >= route.maxAttempts) return false;
-  if (triedTargetIds.length >= route.maxAttempts + MAX_UNCOUNTED_ATTEMPTS) {
-    return false;
-  }
+  if (request.countedAttempts >= maxAttempts) return false;
+  const triedCount = triedTargetIds.length + triedRelayHostIds.length;
+  if (triedCount >= maxAttempts + MAX_UNCOUNTED_ATTEMPTS) return false;
   return !mayHaveReachedTarget ||
     dependencies.takeRetryToken(request.service, nowMs);
 }
--- a/src/core/request/transition.ts
+++ b/src/core/request/transition.ts
@@ -7,6 +7,7 @@
  */
 import type { CrashVerdict } from "../crashes/crash_attribution.ts";
 import { createRefusal, replaceNotRunKind } from "../errors.ts";
+import type { HostAddress } from "../membership/types.ts";
 import type { AvailabilityStatement } from "../targets/stated_availability.ts";
 import type { AttemptEnd, AttemptOutcome } from "../targets/types.ts";
 import { checkArrival } from "./arrival.ts";
@@ -53,7 +54,10 @@
     if ("request" in result) {
       const { request } = result;
       this.#state.requests.set(request.requestId, request);
-      this.#dependencies.addToRetryBudget(request.service, this.#nowMs);
+      // The host that relays a request has counted it.
+      if (!request.isRelayed) {
+        this.#dependencies.addToRetryBudget(request.service, this.#nowMs);
+      }
       return;
     }
     const { refusalReason, route, organisation } = result;
@@ -95,13 +99,18 @@
 
   handleAttemptEnd(event: AttemptEndedEvent): void {
     const request = this.#state.requests.get(event.requestId);
-    const attempt = request?.currentAttempt;
-    if (request === undefined || attempt === undefined) return;
+    if (request === undefined || !isInFlight(request)) return;
+    const { currentAttempt: attempt, isRelayInFlight: wasRelayed } = request;
     const { end, mayHaveReachedTarget, responseBytes } = event;
     const { outcome } = end;
+    request.isRelayInFlight = false;
     this.#recordAttemptEnd(request, end);
-    if (!provesNotRun(outcome, mayHaveReachedTarget)) request.mayHaveRun = true;
-    this.#attributeCrash(request, attempt, end);
+    if (!provesNotRun(outcome, mayHaveReachedTarget)) {
+      request.mayHaveRun = true;
+      // The other host may have made all attempts that it was allowed.
+      if (wasRelayed) request.countedAttempts = request.maxAttempts;
+    }
+    if (attempt !== undefined) this.#attributeCrash(request, attempt, end);
     if (outcome === "answered") {
       this.#dependencies.recordResponseBytes(request, responseBytes);
       this.effects.push({ type: "deliver", requestId: request.requestId });
@@ -124,7 +133,11 @@
       kind: request.mayHaveRun ? "target_failed" : "no_room",
       reason: `the last attempt ended with outcome ${outcome}`,
       // A target that sheds load may accept requests again soon.
-      retryAfterMs: outcome === "shed" ? SHED_RETRY_AFTER_MS : undefined,
+      retryAfterMs: outcome !== "shed"
+        ? undefined
+        : wasRelayed
+        ? end.retryAfterMs
+        : SHED_RETRY_AFTER_MS,
     });
   }
 
@@ -166,13 +179,21 @@
     }
   }
 
-  /** Starts an attempt on the chosen target, or refuses the request. */
+  /**
+   * Starts an attempt on the chosen target, or on another host if this one
+   * reaches no target, or refuses the request.
+   */
   #startAttempt(request: RequestState): void {
     const { fingerprint } = request;
     if (this.#dependencies.isBlocked(fingerprint)) {
       const reason = "requests with this fingerprint crashed targets";
       return this.#endWithRefusal(request, { kind: "request_blocked", reason });
     }
+    // A relayed request is not relayed again, as it could go round in circles.
+    if (!request.isRelayed && this.#dependencies.isTargetPathLost()) {
+      const host = this.#dependencies.chooseRelayHost(request, this.#nowMs);
+      if (host !== undefined) return this.#startRelay(request, host);
+    }
     const usableTargets = this.#dependencies.findUsableTargets(
       request,
       this.#nowMs,
@@ -231,6 +252,25 @@
     });
   }
 
+  /** Starts an attempt on another host. */
+  #startRelay(request: RequestState, host: HostAddress): void {
+    const { requestId, route, organisation, countedAttempts } = request;
+    request.phase = "running";
+    request.countedAttempts += 1;
+    request.triedRelayHostIds.push(host.id);
+    request.isRelayInFlight = true;
+    this.effects.push({
+      type: "relay",
+      requestId,
+      host,
+      route,
+      organisation: organisation?.id ?? "",
+      remainingMs: request.deadlineMs - this.#nowMs,
+      maxAttempts: request.maxAttempts - countedAttempts,
+      attempt: request.triedTargetIds.length + request.triedRelayHostIds.length,
+    });
+  }
+
   /** Refuses a request for which there is no usable target. */
   #refuseWithoutTarget(request: RequestState): void {
     const statedDelayMs = this.#dependencies.findStatedDelayMs(
@@ -343,18 +383,26 @@
    * response may still arrive on the connection that is already open.
    */
   #moveToOtherTarget(request: RequestState): void {
-    const { route, hasResponseStarted, service } = request;
+    const { route, hasResponseStarted, service, maxAttempts } = request;
     if (hasResponseStarted || !route.idempotent) return;
-    if (request.countedAttempts >= route.maxAttempts) return;
-    if (
-      this.#dependencies.findUsableTargets(request, this.#nowMs).length === 0
-    ) return;
+    if (request.countedAttempts >= maxAttempts) return;
+    if (!this.#hasOtherTarget(request)) return;
     if (!this.#dependencies.takeRetryToken(service, this.#nowMs)) return;
     request.mayHaveRun = true;
     this.#abortAttempt(request, "cancelled");
     this.#startAttempt(request);
   }
 
+  /** Whether the request can be sent again, to a target or another host. */
+  #hasOtherTarget(request: RequestState): boolean {
+    const dependencies = this.#dependencies;
+    if (dependencies.findUsableTargets(request, this.#nowMs).length > 0) {
+      return true;
+    }
+    return !request.isRelayed && dependencies.isTargetPathLost() &&
+      dependencies.chooseRelayHost(request, this.#nowMs) !== undefined;
+  }
+
   /**
    * Ends a request that gets no successful response. The caller receives the
    * target's 5xx response if the last attempt ended with one, else an error
@@ -363,7 +411,7 @@
   #endWithRefusal(request: RequestState, refusalReason: RefusalReason): void {
     const { requestId, route, service, organisation, countedAttempts } =
       request;
-    const isRunning = request.currentAttempt !== undefined;
+    const isRunning = isInFlight(request);
     if (request.hasFailureResponse && !isRunning) {
       // The target's own response tells the caller more than a refusal.
       this.effects.push({ type: "deliver", requestId });
@@ -375,7 +423,7 @@
       this.effects.push({ type: "disconnect_caller", requestId });
       return this.#removeRequest(request);
     }
-    if (!mayHaveRun && organisation !== undefined) {
+    if (!mayHaveRun && organisation !== undefined && !request.isRelayed) {
       this.#dependencies.refundQuotaToken(organisation.id, this.#nowMs);
     }
     const kind = mayHaveRun
@@ -393,7 +441,8 @@
   }
 
   #abortAttempt(request: RequestState, outcome: AttemptOutcome): void {
-    if (request.currentAttempt === undefined) return;
+    if (!isInFlight(request)) return;
+    request.isRelayInFlight = false;
     this.effects.push({ type: "abort", requestId: request.requestId });
     this.#recordAttemptEnd(request, { outcome, status: 0 });
   }
@@ -413,3 +462,7 @@
     this.effects.push({ type: "refuse", requestId, refusal, context });
   }
 }
+
+function isInFlight(request: RequestState): boolean {
+  return request.currentAttempt !== undefined || request.isRelayInFlight;
+}
--- a/src/core/request/types.ts
+++ b/src/core/request/types.ts
@@ -6,6 +6,7 @@
 import type { Candidate } from "../balance/choose_target.ts";
 import type { Organisation, Route } from "../document/document.ts";
 import type { ErrorKind, Refusal } from "../errors.ts";
+import type { HostAddress } from "../membership/types.ts";
 import type { AvailabilityStatement } from "../targets/stated_availability.ts";
 import type { InFlightAttempt } from "../targets/target_table.ts";
 import type { AttemptEnd, Target } from "../targets/types.ts";
@@ -32,6 +33,11 @@
   readonly bodyBytes: number;
   /** What is wrong with the request line or headers; "" if they are valid. */
   readonly malformation: string;
+  /**
+   * Attempts that the host that relays the request allows; `undefined` if a
+   * caller sent it.
+   */
+  readonly relayedAttempts?: number;
 }
 
 /** Input of the request reducer. */
@@ -128,6 +134,21 @@
   }
   /** Send the caller the response of the attempt that ended last. */
   | { readonly type: "deliver"; readonly requestId: number }
+  /** Start an attempt on another host, which sends the request to a target. */
+  | {
+    readonly type: "relay";
+    readonly requestId: number;
+    readonly host: HostAddress;
+    readonly route: Route;
+    /** Identifier of the organisation; "" without one. */
+    readonly organisation: string;
+    /** Time left until the deadline, in milliseconds. */
+    readonly remainingMs: number;
+    /** Attempts that the other host may make. */
+    readonly maxAttempts: number;
+    /** Number of the attempt, from 1. */
+    readonly attempt: number;
+  }
   /** Send the caller an error response. */
   | {
     readonly type: "refuse";
@@ -173,6 +194,10 @@
    * affinity key, and random without a key.
    */
   readonly versionBucket: number;
+  /** Whether another host relays the request, which has taken the quota token. */
+  readonly isRelayed: boolean;
+  /** Attempts that may reach a target. */
+  readonly maxAttempts: number;
   phase: RequestPhase;
   /**
    * Identifies equal requests of one organisation for crash attribution; ""
@@ -186,8 +211,12 @@
   mayHaveRun: boolean;
   /** Targets of all attempts, in their order. */
   readonly triedTargetIds: string[];
-  /** The in-flight attempt. */
+  /** Hosts that the request was relayed to, in their order. */
+  readonly triedRelayHostIds: string[];
+  /** The in-flight attempt on a target. */
   currentAttempt: CurrentAttempt | undefined;
+  /** Whether an attempt on another host is in flight. */
+  isRelayInFlight: boolean;
   /** Whether part of a response was sent to the caller. */
   hasResponseStarted: boolean;
   /**
--- a/src/core/targets/target_health.ts
+++ b/src/core/targets/target_health.ts
@@ -65,6 +65,17 @@
     this.#trialUntilMs = -Infinity;
   }
 
+  /**
+   * Forgets failures of a target to which connections failed, as this host could
+   * not reach any target.
+   */
+  forgetFailedConnections(): void {
+    if (this.#failedConnections === 0) return;
+    this.#failedConnections = 0;
+    this.#trialUntilMs = -Infinity;
+    this.#failureFraction = 0;
+  }
+
   /** Records the outcome of an attempt. */
   recordOutcome(outcome: AttemptOutcome, nowMs: number): void {
     switch (outcome) {
--- a/src/core/targets/target_table.ts
+++ b/src/core/targets/target_table.ts
@@ -150,6 +150,13 @@
     else this.#byService.set(service, remaining);
   }
 
+  /** Forgets connection failures, as this host could not reach any target. */
+  forgetFailedConnections(): void {
+    for (const { health } of this.#byId.values()) {
+      health.forgetFailedConnections();
+    }
+  }
+
   /** Records what a target states of its availability in a response. */
   recordStatement(
     { target, availability }: TargetState,
--- a/src/core/targets/types.ts
+++ b/src/core/targets/types.ts
@@ -67,4 +67,6 @@
   readonly limitPerS?: number;
   /** Remaining cold start of the target, if the response states it. */
   readonly coldForMs?: number;
+  /** Delay before a retry that a refusal states. */
+  readonly retryAfterMs?: number;
 }
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -50,6 +50,7 @@
 import { RequestHandler } from "./request_handler.ts";
 import { fetchFromSeeds } from "./seed_fetch.ts";
 import { StoreReplica } from "./store_replica.ts";
+import { TargetPathMonitor } from "./target_path_monitor.ts";
 
 /** Time between two ticks of the periodic work. */
 const TICK_INTERVAL_MS = 100;
@@ -148,10 +149,22 @@
     options.settings.current.bounds.graceMs
   );
 
+  const targetPath = new TargetPathMonitor({
+    targets,
+    pool: () => pool,
+    log,
+    metrics,
+    nowMs,
+    onRefused: (targetId) =>
+      handler.dispatch({ type: "connection_refused", targetId }),
+    onChanged: () => reportExchange.requestReport(),
+  });
   const pool = new ConnectionPool({
     nowMs,
+    onConnectFailed: (address) => targetPath.recordFailure(address),
     onConnected(address, connectMs) {
       metrics.targetConnections.inc();
+      targetPath.recordConnected();
       for (const { target } of targets.all()) {
         if (target.address !== address) continue;
         roundTrips.recordConnection(target, connectMs);
@@ -159,6 +172,7 @@
       }
     },
   });
+  const relayPool = new ConnectionPool({ nowMs });
   const replica = new StoreReplica({
     store,
     nowMs,
@@ -199,6 +213,7 @@
     self,
     startedMs,
     state: hostState,
+    hasTargetPath: () => !targetPath.isLost,
     membership,
     quotas,
     targets,
@@ -239,6 +254,8 @@
     },
     hostCount: () => membership.peers().length + 1,
     isBlocked: (fingerprint) => fleetReports.isBlocked(fingerprint),
+    isTargetPathLost: () => targetPath.isLost,
+    livePeers: (atMs) => membership.livePeers(atMs),
     onLimitChanged({ id, service }, limitPerS) {
       log.event("target_limit", { target: id, service, limitPerS });
       reportExchange.requestReport();
@@ -257,12 +274,15 @@
   });
   let generatedIds = 0;
   const handler = new RequestHandler({
+    hostId: host.id,
     dependencies,
     createRequestId: () => {
       generatedIds += 1;
       return `${host.id}-${startedMs.toString(36)}-${generatedIds}`;
     },
     pool,
+    relayPool,
+    checkTarget: (target) => targetPath.checkTarget(target),
     headerNames,
     log,
     metrics,
@@ -317,6 +337,7 @@
     replica,
     metrics,
     requestsInProgress: () => handler.requestsInProgress,
+    hasTargetPath: () => !targetPath.isLost,
     nowMs,
   });
   const lookupServer = createEndpointServer(
@@ -331,6 +352,7 @@
   const peerServer = createPeerServer({
     deltaSince: (kind, position) => replica.deltaSince(kind, position),
     describe: () => endpoints.describe(),
+    handleRelayed: (req, res, relay) => handler.handle(req, res, relay),
   });
   const registration = new HostRegistration({
     self,
@@ -396,7 +418,11 @@
     guard("applier", () => applier.tick());
     guard("releases", () => releaseRunner.tick());
     guard("registration", () => registration.tick());
-    guard("pool", () => pool.prune(atMs));
+    guard("pool", () => {
+      pool.prune(atMs);
+      relayPool.prune(atMs);
+    });
+    guard("target path", () => targetPath.tick());
     guard("replica", () => {
       const rank = membership.taskRank("watch", atMs);
       replica.tick(rank, fleetReports.peerStatuses());
@@ -445,6 +471,7 @@
     callerServer.closeIdleConnections();
     await Promise.race([handler.whenIdle(), sleep(LAST_REQUESTS_TIMEOUT_MS)]);
     pool.close();
+    relayPool.close();
     store.close();
     await tracing.close();
     log.event("stopped", { inProgress: handler.requestsInProgress });
--- a/src/node/entry/fleet_reports.ts
+++ b/src/node/entry/fleet_reports.ts
@@ -46,6 +46,8 @@
   /** Unix time of the process start in milliseconds. */
   readonly startedMs: number;
   readonly state: () => HostState;
+  /** Whether this host reaches targets. */
+  readonly hasTargetPath: () => boolean;
   readonly membership: Membership;
   readonly quotas: Quotas;
   readonly targets: TargetTable;
@@ -96,7 +98,13 @@
       atMs - recorded.recordedMs < CRASH_REPORT_DURATION_MS
     );
     return {
-      record: { ...self, startedMs, sequence: this.#sequence, state: state() },
+      record: {
+        ...self,
+        startedMs,
+        sequence: this.#sequence,
+        state: state(),
+        hasTargetPath: this.#options.hasTargetPath(),
+      },
       positions: replica().changedPositions(),
       documentVersion: this.#options.documentVersion(),
       store: replica().createStoreReport(),
--- a/src/node/entry/host_endpoints.ts
+++ b/src/node/entry/host_endpoints.ts
@@ -39,6 +39,8 @@
   readonly replica: StoreReplica;
   readonly metrics: Metrics;
   readonly requestsInProgress: () => number;
+  /** Whether this host reaches targets. */
+  readonly hasTargetPath: () => boolean;
   readonly nowMs: () => number;
 }
 
@@ -59,13 +61,21 @@
   lookUp(caller: Locality, hostName: string): LookupResponse {
     const { self, state, membership, applier, metrics, settings, nowMs } =
       this.#options;
+    const hasTargetPath = this.#options.hasTargetPath();
     const readyPeers = membership.livePeers(nowMs())
       .filter((host) => host.state === "ready");
-    const hosts = [...(state() === "ready" ? [self] : []), ...readyPeers];
+    const hosts = [
+      ...(state() === "ready" ? [{ ...self, hasTargetPath }] : []),
+      ...readyPeers,
+    ];
+    // Hosts that reach no target relay requests, which takes longer.
+    const reaching = hosts.filter((host) => host.hasTargetPath);
     const preferredRegions = applier.document?.routes
       .filter((route) => route.host === hostName)
       .flatMap(({ homeRegions }) => homeRegions) ?? [];
-    const chosen = chooseHosts(hosts, caller, { preferredRegions });
+    const chosen = chooseHosts(reaching.length > 0 ? reaching : hosts, caller, {
+      preferredRegions,
+    });
     metrics.lookups.inc({ answer: chosen.length > 0 ? "hosts" : "none" });
     return {
       addresses: chosen.map(({ callerAddress }) => callerAddress),
@@ -107,6 +117,7 @@
     return {
       host: self,
       state: state(),
+      hasTargetPath: this.#options.hasTargetPath(),
       documentVersion: applier.document?.version,
       storeAgeMs: Math.round(replica.availability.ageMs),
       liveHosts: membership.livePeers(nowMs())
--- a/src/node/entry/http_exchange.ts
+++ b/src/node/entry/http_exchange.ts
@@ -20,6 +20,8 @@
   readonly target: RequestTarget;
   /** What is wrong with the request line or headers; "" if they are valid. */
   readonly malformation: string;
+  /** Attempts that the host that relays the request allows. */
+  readonly relayedAttempts: number | undefined;
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly startedMs: number;
--- a/src/node/entry/request_dependencies.ts
+++ b/src/node/entry/request_dependencies.ts
@@ -21,6 +21,8 @@
 import type { Document, Route, Service } from "../../core/document/document.ts";
 import { RouteTable } from "../../core/document/route_table.ts";
 import type { Quotas } from "../../core/limits/quotas.ts";
+import type { HostRecord } from "../../core/membership/types.ts";
+import { chooseRelayHost } from "../../core/relay/choose_relay_host.ts";
 import type { Releases } from "../../core/release/releases.ts";
 import type { VersionRule } from "../../core/release/types.ts";
 import type { VersionCounts } from "../../core/release/version_counts.ts";
@@ -62,6 +64,10 @@
   /** Number of hosts that share the retry slack, including this one. */
   readonly hostCount: () => number;
   readonly isBlocked: (fingerprint: string) => boolean;
+  /** Whether this host reaches no target. */
+  readonly isTargetPathLost: () => boolean;
+  /** Live hosts other than this one. */
+  readonly livePeers: (nowMs: number) => readonly HostRecord[];
   /** Called when a response changes the limit that its target states. */
   readonly onLimitChanged: (
     target: Target,
@@ -270,6 +276,14 @@
         }),
       });
     },
+    isTargetPathLost: options.isTargetPathLost,
+    chooseRelayHost: ({ route, organisation, triedRelayHostIds }, nowMs) =>
+      chooseRelayHost(options.livePeers(nowMs), {
+        region: options.hostLocality.region,
+        homeRegions: [route.homeRegions, organisation?.homeRegions ?? []],
+        triedHostIds: triedRelayHostIds,
+        random: options.random,
+      }),
     random: options.random,
   };
 
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -15,9 +15,9 @@
   RequestEffect,
   RequestEvent,
 } from "../../core/request/types.ts";
-import type { Target } from "../../core/targets/types.ts";
 import { createRefusal } from "../../core/errors.ts";
-import { countHeaderBytes, formatRequestHead } from "../front/headers.ts";
+import type { Target } from "../../core/targets/types.ts";
+import { countHeaderBytes } from "../front/headers.ts";
 import { RequestBody } from "../front/request_body.ts";
 import {
   findHeader,
@@ -25,29 +25,34 @@
   readRequestHead,
 } from "../front/request_head.ts";
 import {
-  startStreamedResponse,
   writeBufferedResponse,
   writeRefusal,
 } from "../front/response_writer.ts";
 import type { HeaderNames } from "../header_names.ts";
-import { Attempt } from "../target/attempt.ts";
 import type { ConnectionPool } from "../target/connection_pool.ts";
 import { logUnexpectedError } from "../telemetry/guard.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { Metrics } from "../telemetry/metrics.ts";
 import type { Tracing } from "../telemetry/tracing.ts";
+import { AttemptStarter } from "./attempt_starter.ts";
 import type { HttpExchange } from "./http_exchange.ts";
 
 /** Time between two `tick` events, at which deadlines are checked. */
 const TICK_INTERVAL_MS = 50;
 
-type SendEffect = Extract<RequestEffect, { type: "send" }>;
 type RefuseEffect = Extract<RequestEffect, { type: "refuse" }>;
 
 /** Options of a `RequestHandler`. */
 export interface RequestHandlerOptions {
+  /** Id of this host. */
+  readonly hostId: string;
   readonly dependencies: PipelineDependencies;
+  /** Connections to targets. */
   readonly pool: ConnectionPool;
+  /** Connections to other hosts. */
+  readonly relayPool: ConnectionPool;
+  /** Starts a check whether a target accepts connections. */
+  readonly checkTarget: (target: Target) => void;
   readonly headerNames: HeaderNames;
   readonly log: Log;
   readonly metrics: Metrics;
@@ -68,15 +73,19 @@
 /** Handles the requests of callers and tracks those in progress. */
 export class RequestHandler {
   readonly #options: RequestHandlerOptions;
+  readonly #attempts: AttemptStarter;
   readonly #state = createPipelineState();
   readonly #exchanges = new Map<number, HttpExchange>();
-  readonly #targetIdsInCheck = new Set<string>();
   #nextId = 1;
   #tickTimer: NodeJS.Timeout | undefined;
   #idleCallbacks: (() => void)[] = [];
 
   constructor(options: RequestHandlerOptions) {
     this.#options = options;
+    this.#attempts = new AttemptStarter({
+      ...options,
+      dispatch: (event) => this.dispatch(event),
+    });
   }
 
   /** Number of requests whose response is not complete. */
@@ -90,7 +99,17 @@
     return new Promise((resolve) => this.#idleCallbacks.push(resolve));
   }
 
-  handle(req: IncomingMessage, res: ServerResponse): void {
+  /**
+   * Handles a request.
+   *
+   * @param options `relayedAttempts` is the number of attempts that the host
+   * that relays the request allows; absent if a caller sent it.
+   */
+  handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+    { relayedAttempts }: { relayedAttempts?: number } = {},
+  ): void {
     const { headerNames, nowMs, dependencies } = this.#options;
     const id = this.#nextId++;
     const { requestId, malformation, ...head } = readRequestHead(
@@ -103,6 +122,7 @@
       isIdGenerated: requestId === undefined,
       ...head,
       malformation,
+      relayedAttempts,
       req,
       res,
       startedMs: nowMs(),
@@ -175,7 +195,7 @@
   }
 
   #createIncomingRequest(
-    { id, req, target, malformation }: HttpExchange,
+    { id, req, target, malformation, relayedAttempts }: HttpExchange,
   ): IncomingRequest {
     const { headerNames } = this.#options;
     const timeoutMs = Number(findHeader(req, headerNames.timeoutMs) ?? 0);
@@ -191,6 +211,7 @@
       headerBytes: countHeaderBytes(req.rawHeaders),
       bodyBytes: contentLength === undefined ? -1 : Number(contentLength),
       malformation,
+      relayedAttempts,
     };
   }
 
@@ -207,7 +228,9 @@
   }
 
   #applyEffect(effect: RequestEffect): void {
-    if (effect.type === "check_target") return this.#checkTarget(effect.target);
+    if (effect.type === "check_target") {
+      return this.#options.checkTarget(effect.target);
+    }
     if (effect.type === "block" || effect.type === "suspect") {
       const { type, ...crashReport } = effect;
       this.#options.log.event(`request_${type}`, crashReport);
@@ -217,7 +240,9 @@
     if (exchange === undefined) return;
     switch (effect.type) {
       case "send":
-        return this.#send(effect, exchange);
+        return this.#attempts.startOnTarget(effect, exchange);
+      case "relay":
+        return this.#attempts.startOnHost(effect, exchange);
       case "deliver":
         return this.#deliver(exchange);
       case "refuse":
@@ -232,95 +257,6 @@
     }
   }
 
-  #send(effect: SendEffect, exchange: HttpExchange): void {
-    const { target, route, organisation, remainingMs, decision } = effect;
-    const { req, id, callerRequestId, body } = exchange;
-    const { headerNames, pool, nowMs, log, metrics, tracing } = this.#options;
-    if (body === undefined) return;
-    exchange.routeId = route.id;
-    const sentMs = nowMs();
-    const method = req.method ?? "GET";
-    const outgoingBody = body.startSending();
-    const span = tracing.startHopSpan("attempt", req.headers.traceparent);
-    span.setAttribute("target", target.id);
-    const attempt = new Attempt({
-      address: target.address,
-      pool,
-      headerNames,
-      nowMs,
-      request: {
-        method,
-        head: formatRequestHead(
-          {
-            method,
-            path: exchange.target.path,
-            rawHeaders: req.rawHeaders,
-            host: exchange.target.host,
-          },
-          {
-            remainingMs,
-            targetId: target.id,
-            organisation,
-            requestId: exchange.isIdGenerated ? callerRequestId : "",
-          },
-          outgoingBody.framing,
-          headerNames,
-        ),
-        requestId: callerRequestId,
-        body: outgoingBody.body,
-        remainingBody: outgoingBody.remainingBody,
-        idempotent: route.idempotent,
-      },
-      listener: {
-        onStatement: (statement) =>
-          this.dispatch({ type: "target_stated", requestId: id, statement }),
-        onStreamStarted: (head) => {
-          this.dispatch({ type: "response_started", requestId: id });
-          startStreamedResponse(exchange.res, head, this.#responseOptions());
-        },
-        onStreamData: (chunk) => exchange.res.write(chunk),
-        onEnded: (result) => {
-          const { outcome, status } = result.end;
-          const tookMs = nowMs() - sentMs;
-          span.end(outcome);
-          metrics.attempts.inc({ service: target.service, outcome });
-          metrics.attemptSeconds.observe(
-            { service: target.service },
-            tookMs / 1_000,
-          );
-          log.request("attempt", {
-            request: callerRequestId,
-            route: route.id,
-            target: target.id,
-            address: target.address,
-            version: target.version,
-            zone: target.availabilityZone,
-            documentVersion: this.#options.dependencies.document()?.version,
-            organisation,
-            ...decision,
-            remainingMs: Math.round(remainingMs),
-            outcome,
-            status,
-            detail: result.detail,
-            tookMs: Math.round(tookMs),
-          }, outcome !== "answered");
-          exchange.result = result;
-          exchange.attempt = undefined;
-          this.dispatch({
-            type: "attempt_ended",
-            requestId: id,
-            end: result.end,
-            mayHaveReachedTarget: result.mayHaveReachedTarget,
-            canResend: body.canResend,
-            responseBytes: result.receivedBytes,
-          });
-        },
-      },
-    });
-    exchange.attempt = attempt;
-    attempt.start();
-  }
-
   #deliver(exchange: HttpExchange): void {
     const { result, res } = exchange;
     exchange.end = "answered";
@@ -352,34 +288,6 @@
     });
   }
 
-  /**
-   * Checks whether a target accepts connections. One that refuses a connection
-   * after a broken attempt is considered crashed.
-   */
-  #checkTarget(target: Target): void {
-    const { pool, metrics, log } = this.#options;
-    if (this.#targetIdsInCheck.has(target.id)) return;
-    this.#targetIdsInCheck.add(target.id);
-    pool.closeIdle(target.address);
-    pool.open(target.address, (result) => {
-      this.#targetIdsInCheck.delete(target.id);
-      const isRefused = result instanceof Error;
-      metrics.targetChecks.inc({ result: isRefused ? "refused" : "connected" });
-      log.event("target_checked", { target: target.id, refused: isRefused });
-      if (isRefused) {
-        return this.dispatch({
-          type: "connection_refused",
-          targetId: target.id,
-        });
-      }
-      const { nowMs } = this.#options;
-      pool.addIdle(target.address, result, {
-        keepAliveMs: -1,
-        nowMs: nowMs(),
-      });
-    });
-  }
-
   #responseOptions() {
     return { closesConnection: this.#options.closesConnections() };
   }
--- a/src/node/front/caller_server.ts
+++ b/src/node/front/caller_server.ts
@@ -22,6 +22,14 @@
 /** Parser limit; the limit of the document is checked after parsing. */
 const MAX_HEADER_BYTES = 131_072;
 
+/** Options of servers that accept requests for targets. */
+export const FORWARDING_SERVER_OPTIONS = {
+  maxHeaderSize: MAX_HEADER_BYTES,
+  // A slow body is bounded by the deadline of the request instead.
+  requestTimeout: 0,
+  noDelay: true,
+} as const;
+
 /** Time limits of connections, as the document sets them. */
 export interface CallerLimits {
   /** Time in which all headers of a request have to arrive. */
@@ -33,13 +41,10 @@
 /** Creates the server; it does not listen yet. */
 export function createCallerServer(handle: RequestListener): Server {
   const server = createServer({
+    ...FORWARDING_SERVER_OPTIONS,
     keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
     headersTimeout: DEFAULT_HEADERS_TIMEOUT_MS,
     connectionsCheckingInterval: HEADERS_CHECK_INTERVAL_MS,
-    maxHeaderSize: MAX_HEADER_BYTES,
-    // A slow body is bounded by the deadline of the request instead.
-    requestTimeout: 0,
-    noDelay: true,
   }, handle);
   // Node.js closes the connection of this method without a response otherwise.
   server.on("connect", (_req, socket) => {
--- a/src/node/front/headers.ts
+++ b/src/node/front/headers.ts
@@ -34,51 +34,116 @@
   readonly requestId: string;
 }
 
+/** Values of the headers that are added to a request for another host. */
+export interface RelayHeaders {
+  /** Time left for the other host, in milliseconds. */
+  readonly remainingMs: number;
+  /** Id of this host. */
+  readonly hostId: string;
+  /** Attempts that the other host may make. */
+  readonly maxAttempts: number;
+  /** Id of a request that the caller sent without one; "" otherwise. */
+  readonly requestId: string;
+}
+
+/** Header that names the host that relays a request. */
+export const RELAYED_BY_HEADER = "x-cranberry-relayed-by";
+/** Header with the attempts that the host that relays a request allows. */
+export const RELAYED_ATTEMPTS_HEADER = "x-cranberry-relayed-attempts";
+
 /** Framing of a request body. */
 export type BodyFraming =
   | { readonly type: "none" }
   | { readonly type: "sized"; readonly bytes: number }
   | { readonly type: "chunked" };
 
+/** A caller's request that is sent on. */
+export interface ForwardedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly rawHeaders: RawHeaders;
+  /** Replaces the host header, which an absolute request target overrides. */
+  readonly host: string;
+}
+
 /**
  * Formats the request line and headers for a target. The API key of the caller
  * is not forwarded.
- *
- * @param request `host` replaces the host header, which an absolute request
- * target overrides.
  */
 export function formatRequestHead(
-  request: {
-    method: string;
-    path: string;
-    rawHeaders: RawHeaders;
-    host: string;
-  },
+  request: ForwardedRequest,
   added: AddedHeaders,
   framing: BodyFraming,
   headerNames: HeaderNames,
 ): string {
-  const omitted = new Set([
-    "authorization",
+  const { targetId, organisation } = added;
+  let lines = `${headerNames.targetId}: ${targetId}\r\n`;
+  if (organisation !== "") {
+    lines += `${headerNames.organisation}: ${organisation}\r\n`;
+  }
+  return formatHead(request, { ...added, lines }, framing, {
+    headerNames,
+    omitted: ["authorization"],
+  });
+}
+
+/**
+ * Formats the request line and headers for another host, which checks the
+ * caller's API key itself.
+ */
+export function formatRelayHead(
+  request: ForwardedRequest,
+  added: RelayHeaders,
+  framing: BodyFraming,
+  headerNames: HeaderNames,
+): string {
+  const lines = `${RELAYED_BY_HEADER}: ${added.hostId}\r\n` +
+    `${RELAYED_ATTEMPTS_HEADER}: ${added.maxAttempts}\r\n`;
+  return formatHead(request, { ...added, lines }, framing, {
+    headerNames,
+    omitted: [],
+  });
+}
+
+/**
+ * Formats the request line, the forwarded headers and those that are added.
+ * Headers by which this system passes on what it knows are never taken from the
+ * request.
+ */
+function formatHead(
+  request: ForwardedRequest,
+  added: {
+    readonly remainingMs: number;
+    readonly requestId: string;
+    /** Further header lines. */
+    readonly lines: string;
+  },
+  framing: BodyFraming,
+  { headerNames, omitted }: {
+    headerNames: HeaderNames;
+    omitted: readonly string[];
+  },
+): string {
+  const allOmitted = new Set([
     "content-length",
     "host",
+    RELAYED_BY_HEADER,
+    RELAYED_ATTEMPTS_HEADER,
     headerNames.timeoutMs,
     headerNames.targetId,
     headerNames.organisation,
+    ...omitted,
     ...listConnectionOptions(request.rawHeaders),
   ]);
   let head = `${request.method} ${request.path} HTTP/1.1\r\n`;
   head += `Host: ${request.host}\r\n`;
-  head += formatForwardedHeaders(request.rawHeaders, omitted);
+  head += formatForwardedHeaders(request.rawHeaders, allOmitted);
   if (added.requestId !== "") {
     head += `${headerNames.requestId}: ${added.requestId}\r\n`;
   }
   const remainingMs = Math.max(1, Math.floor(added.remainingMs));
   head += `${headerNames.timeoutMs}: ${remainingMs}\r\n`;
-  head += `${headerNames.targetId}: ${added.targetId}\r\n`;
-  if (added.organisation !== "") {
-    head += `${headerNames.organisation}: ${added.organisation}\r\n`;
-  }
+  head += added.lines;
   if (framing.type === "sized") head += `content-length: ${framing.bytes}\r\n`;
   if (framing.type === "chunked") head += "transfer-encoding: chunked\r\n";
   return head + "\r\n";
--- a/src/node/front/response_writer.ts
+++ b/src/node/front/response_writer.ts
@@ -6,6 +6,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Refusal } from "../../core/errors.ts";
+import { RAN_HEADER } from "../header_names.ts";
 import type { BufferedResponse, ResponseHead } from "../target/types.ts";
 import { filterResponseHeaders } from "./headers.ts";
 
@@ -64,7 +65,7 @@
   const headers: Record<string, string> = {
     "content-type": "application/json",
     "content-length": String(body.length),
-    "x-cranberry-ran": ran,
+    [RAN_HEADER]: ran,
     ...options.extraHeaders,
   };
   if (retryAfterMs > 0) {
--- a/src/node/header_names.ts
+++ b/src/node/header_names.ts
@@ -5,6 +5,9 @@
  * @module
  */
 
+/** Header of a host's own refusals: whether the request may have run. */
+export const RAN_HEADER = "x-cranberry-ran";
+
 /** Header names in lower case. */
 export interface HeaderNames {
   /** Id of a request, which targets echo; a caller's retry has another one. */
--- a/src/node/peer/peer_service.ts
+++ b/src/node/peer/peer_service.ts
@@ -4,13 +4,21 @@
  *
  * @module
  */
-import { createServer, type RequestListener, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import { NO_POSITION, type StorePosition } from "../../core/store/position.ts";
 import {
   type KindDelta,
   OBJECT_KINDS,
   type ObjectKind,
 } from "../../core/store/types.ts";
+import { FORWARDING_SERVER_OPTIONS } from "../front/caller_server.ts";
+import { RELAYED_ATTEMPTS_HEADER } from "../front/headers.ts";
 
 /** Handlers for the calls of other hosts. */
 export interface PeerHandlers {
@@ -18,15 +26,28 @@
   deltaSince(kind: ObjectKind, position: StorePosition): KindDelta;
   /** Describes the state of this host to operators, as a JSON value. */
   describe(): unknown;
+  /** Handles a caller's request that another host relays. */
+  handleRelayed(
+    req: IncomingMessage,
+    res: ServerResponse,
+    options: { relayedAttempts: number },
+  ): void;
 }
 
 /** Position of a host's replica by kind. */
 export type KindPositions = ReadonlyMap<ObjectKind, StorePosition>;
 
-/** Creates the server for calls of other hosts. */
+/**
+ * Creates the server for calls of other hosts and for requests that they relay.
+ */
 export function createPeerServer(handlers: PeerHandlers): Server {
   let listener: Promise<RequestListener> | undefined;
-  return createServer((req, res) => {
+  return createServer({ ...FORWARDING_SERVER_OPTIONS }, (req, res) => {
+    const attempts = req.headers[RELAYED_ATTEMPTS_HEADER];
+    if (attempts !== undefined) {
+      const relayedAttempts = Math.max(1, Number(attempts) || 1);
+      return handlers.handleRelayed(req, res, { relayedAttempts });
+    }
     listener ??= import("./peer_calls.ts").then(({ createPeerListener }) =>
       createPeerListener(handlers)
     );
--- a/src/node/peer/report_codec_test.ts
+++ b/src/node/peer/report_codec_test.ts
@@ -15,6 +15,7 @@
       startedMs: 1_700_000_000_000 + n,
       sequence: n,
       state: "ready",
+      hasTargetPath: false,
     },
     positions: new Map([["targets", { epoch: 3, revision: 40 + n }]]),
     documentVersion: 7,
--- a/src/node/peer/report_exchange_test.ts
+++ b/src/node/peer/report_exchange_test.ts
@@ -23,7 +23,13 @@
 
 function createReport(host: HostAddress): HostReport {
   return {
-    record: { ...host, startedMs: 1, sequence: 1, state: "ready" },
+    record: {
+      ...host,
+      startedMs: 1,
+      sequence: 1,
+      state: "ready",
+      hasTargetPath: true,
+    },
     positions: new Map(),
     documentVersion: 0,
     demands: new Map(),
--- a/src/node/target/attempt.ts
+++ b/src/node/target/attempt.ts
@@ -7,7 +7,7 @@
 import { classifyResponse } from "../../core/request/outcomes.ts";
 import type { AvailabilityStatement } from "../../core/targets/stated_availability.ts";
 import type { AttemptOutcome, LoadReport } from "../../core/targets/types.ts";
-import type { HeaderNames } from "../header_names.ts";
+import { type HeaderNames, RAN_HEADER } from "../header_names.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type {
   ConnectionListener,
@@ -68,6 +68,11 @@
   readonly listener: AttemptListener;
   readonly pool: ConnectionPool;
   readonly headerNames: HeaderNames;
+  /**
+   * Whether the attempt is on another host, which answers with a refusal of its
+   * own or with the response of a target. Default: false.
+   */
+  readonly isRelay?: boolean;
   readonly nowMs: () => number;
 }
 
@@ -279,6 +284,8 @@
         load: head && parseLoad(findHeader(head, headerNames.load)),
         limitPerS: head && parseLimit(findHeader(head, headerNames.limitPerS)),
         coldForMs: coldForMs > 0 ? coldForMs : undefined,
+        retryAfterMs: head &&
+          parseRetryAfterMs(findHeaders(head, headerNames.retryAfterS)),
       },
       mayHaveReachedTarget: this.#isSent,
       response: head === undefined || this.#isStreaming
@@ -290,11 +297,15 @@
   }
 
   #classify(head: ResponseHead): AttemptOutcome {
-    const { headerNames } = this.#options;
+    const { headerNames, isRelay = false } = this.#options;
+    const hasSeal = findHeader(head, headerNames.seal) !== undefined;
+    const isRefusedByHost = isRelay && !hasSeal && head.status === 503 &&
+      findHeader(head, RAN_HEADER) === "no";
     return classifyResponse({
       status: head.status,
-      isMarkedNotRun: findHeader(head, headerNames.notRun) !== undefined,
-      hasSeal: findHeader(head, headerNames.seal) !== undefined,
+      isMarkedNotRun: isRefusedByHost ||
+        findHeader(head, headerNames.notRun) !== undefined,
+      hasSeal,
     }, headerNames.seal !== "");
   }
 }
--- a/src/node/target/connection_pool.ts
+++ b/src/node/target/connection_pool.ts
@@ -46,6 +46,8 @@
 export interface PoolListener {
   /** A connection was established. */
   onConnected?(address: string, connectMs: number): void;
+  /** A connection could not be established. Not called after a cancellation. */
+  onConnectFailed?(address: string): void;
 }
 
 /** Opens connections and keeps idle ones by the address of their target. */
@@ -117,6 +119,7 @@
     const fail = (error: Error) => {
       if (!settle()) return;
       socket.destroy();
+      this.#listener.onConnectFailed?.(address);
       onResult(error);
     };
     socket.once("error", fail);
--- a/src/node/telemetry/metrics.ts
+++ b/src/node/telemetry/metrics.ts
@@ -72,6 +72,15 @@
       "Time from the start to the end of an attempt on a target",
       ["service"],
     ),
+    relays: counter(
+      "relays_total",
+      "Attempts on other hosts, as this one reached no target, by outcome",
+      ["outcome"],
+    ),
+    targetPathLost: gauge(
+      "target_path_lost",
+      "1 while this host reaches no target, else 0",
+    ),
     targetConnections: counter(
       "target_connections_total",
       "Connections opened to targets",
