Count no attempt without a connection against its version

A connection that timed out after 800 ms counted as a slow, bad response of the target's version, and so did a request that hung while the host had lost its path.

Attempts without a response now count only if a connection was established and the host reaches targets. The test in pipeline_test.ts recorded "bad for the version" for both cases before the change.

--- a/src/core/request/attempt_statistics.ts
+++ b/src/core/request/attempt_statistics.ts
@@ -44,6 +44,12 @@
       dependencies.recordServiceTime(route, serviceTimeMs, { isWarm });
     }
   }
+  // Without a response, an attempt that reached no target, or lasted long because
+  // this host lost its path, says nothing about the version.
+  const hasResponse = outcome === "answered" || outcome === "failed";
+  const isCausedByPath = outcome === "unreachable" ||
+    dependencies.isTargetPathLost();
+  if (!hasResponse && isCausedByPath) return;
   // A broken connection points to the target or the network and does not
   // count against the version.
   const isBad = outcome === "failed" || isSlow;
--- a/src/core/request/pipeline_test.ts
+++ b/src/core/request/pipeline_test.ts
@@ -457,3 +457,34 @@
   assert.match(pipeline.effectLog[0], /^503 no_target, ran: no/);
   assert.deepEqual(pipeline.recordLog, []);
 });
+
+// Guards against a good version that is rolled back because hosts could not
+// connect to its targets, or lost their path to all targets.
+test("attempts without a connection do not count against the version", (t) => {
+  const endLate = (
+    outcome: AttemptOutcome,
+    dependencies: Partial<PipelineDependencies> = {},
+  ) => {
+    const pipeline = createTestPipeline({ dependencies });
+    pipeline.arrive();
+    pipeline.endAttempt(outcome, 800, outcome !== "unreachable");
+    return pipeline.recordLog;
+  };
+  let isTargetPathLost = false;
+  const losePath = () => {
+    const pipeline = createTestPipeline({
+      route: NOT_IDEMPOTENT,
+      dependencies: { isTargetPathLost: () => isTargetPathLost },
+    });
+    pipeline.arrive();
+    isTargetPathLost = true;
+    pipeline.apply({ type: "tick" }, 1_000);
+    return pipeline.recordLog;
+  };
+  matchSnapshot(t, {
+    "connection timed out": endLate("unreachable"),
+    "connection timed out, path lost": endLate("unreachable", WITHOUT_PATH),
+    "deadline passed, path lost": losePath(),
+    "slow response": endLate("answered"),
+  });
+});
