Take a lost path to the targets not for crashes

When a host loses its path, the connections with requests in flight break and new ones to the same targets fail, which crash attribution takes for crashes. A request that was in flight at two targets was blocked on all hosts for good (request_blocked), though it crashes nothing.

A failed connection now completes a crash only while connections to no other target have failed in a row. Probes settle the doubt within a round trip, and a target that did crash refuses the next trial as well, so its crash is attributed then.

--- a/src/core/request/dependencies.ts
+++ b/src/core/request/dependencies.ts
@@ -108,6 +108,11 @@
   ): AdmissionRefusal | undefined;
   /** Whether this host reaches no target. */
   isTargetPathLost(): boolean;
+  /**
+   * Whether connections to several targets failed and none has been established
+   * since, so that the path may be lost.
+   */
+  isTargetPathInDoubt(): boolean;
   /** Returns a host that reaches targets and may serve the request. */
   chooseRelayHost(
     request: RequestState,
--- a/src/core/request/pipeline_test.ts
+++ b/src/core/request/pipeline_test.ts
@@ -89,6 +89,7 @@
     isBlocked: () => false,
     checkAdmission: () => undefined,
     isTargetPathLost: () => false,
+    isTargetPathInDoubt: () => false,
     chooseRelayHost: () => undefined,
     random: () => 0.5,
     ...options.dependencies,
@@ -488,3 +489,26 @@
     "slow response": endLate("answered"),
   });
 });
+
+// Guards against requests that are blocked on all hosts although they crash
+// nothing: a host loses its path, so the connections on which they were in
+// flight break and new ones fail.
+test("a lost path is not taken for crashes of targets", (t) => {
+  const breakTwice = (dependencies: Partial<PipelineDependencies>) => {
+    const pipeline = createTestPipeline({
+      route: { maxAttempts: 3 },
+      dependencies,
+    });
+    pipeline.arrive();
+    pipeline.endAttempt("broken", 50);
+    pipeline.apply({ type: "connection_refused", targetId: "target-1" }, 60);
+    pipeline.endAttempt("broken", 100);
+    pipeline.endAttempt("unreachable", 110, false);
+    pipeline.apply({ type: "connection_refused", targetId: "target-2" }, 120);
+    return pipeline.effectLog;
+  };
+  matchSnapshot(t, {
+    "path in doubt": breakTwice({ isTargetPathInDoubt: () => true }),
+    "path is there": breakTwice({}),
+  });
+});
--- a/src/core/request/transition.ts
+++ b/src/core/request/transition.ts
@@ -146,11 +146,7 @@
    * as unreachable and moves its requests.
    */
   handleConnectionRefused(targetId: string): void {
-    const { crashAttribution } = this.#state;
-    this.#emitCrashEffects(
-      targetId,
-      crashAttribution.recordRefusedConnection(targetId, this.#nowMs),
-    );
+    this.#recordRefusedConnection(targetId);
     this.#dependencies.recordUnreachable(targetId, this.#nowMs);
     for (const request of [...this.#state.requests.values()]) {
       if (request.currentAttempt?.handle.state.target.id === targetId) {
@@ -321,15 +317,25 @@
       );
       this.effects.push({ type: "check_target", target });
     } else if (outcome === "unreachable") {
-      this.#emitCrashEffects(
-        id,
-        crashAttribution.recordRefusedConnection(id, this.#nowMs),
-      );
+      this.#recordRefusedConnection(id);
     } else if (outcome === "answered") {
       crashAttribution.recordResponse(fingerprint, version);
     }
   }
 
+  /**
+   * Completes the crash of a target, unless this host may have lost its path:
+   * then several targets seem to have crashed at once.
+   */
+  #recordRefusedConnection(targetId: string): void {
+    if (this.#dependencies.isTargetPathInDoubt()) return;
+    const { crashAttribution } = this.#state;
+    this.#emitCrashEffects(
+      targetId,
+      crashAttribution.recordRefusedConnection(targetId, this.#nowMs),
+    );
+  }
+
   #emitCrashEffects(
     targetId: string,
     { blocked, suspected }: CrashVerdict,
--- a/src/core/targets/target_path.ts
+++ b/src/core/targets/target_path.ts
@@ -25,7 +25,7 @@
   /** Times of the failures since the last established connection, by address. */
   readonly #failuresMs = new Map<string, number>();
   readonly #targets: () => Iterable<{ readonly target: Target }>;
-  #isInDoubt = false;
+  #needsProbes = false;
   #lostSinceMs: number | undefined;
   #lastProbesMs = -Infinity;
   #probeOffset = 0;
@@ -40,6 +40,14 @@
     return this.#lostSinceMs !== undefined;
   }
 
+  /**
+   * Whether connections to several targets failed and none has been established
+   * since.
+   */
+  get isInDoubt(): boolean {
+    return this.isLost || this.#failuresMs.size > 1;
+  }
+
   /** Time for which the path has been lost; 0 if it is not. */
   lostForMs(nowMs: number): number {
     return this.#lostSinceMs === undefined ? 0 : nowMs - this.#lostSinceMs;
@@ -48,7 +56,7 @@
   /** Records that a connection to a target was established. */
   recordConnected(): void {
     this.#failuresMs.clear();
-    this.#isInDoubt = false;
+    this.#needsProbes = false;
     this.#lostSinceMs = undefined;
   }
 
@@ -57,12 +65,12 @@
    * other targets are probed.
    */
   recordSilence(): void {
-    this.#isInDoubt = true;
+    this.#needsProbes = true;
   }
 
   /** Records that a connection to a target could not be established. */
   recordFailure(address: string, nowMs: number): void {
-    this.#isInDoubt = true;
+    this.#needsProbes = true;
     this.#failuresMs.delete(address);
     this.#failuresMs.set(address, nowMs);
     if (this.isLost) return;
@@ -86,7 +94,7 @@
    * without a failure, come first, as their answer says most.
    */
   takeProbes(nowMs: number): Target[] {
-    if (!this.#isInDoubt) return [];
+    if (!this.#needsProbes) return [];
     if (nowMs - this.#lastProbesMs < PROBE_INTERVAL_MS) return [];
     this.#lastProbesMs = nowMs;
     const targets = [...this.#targets()].map(({ target }) => target);
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -255,6 +255,7 @@
     hostCount: () => membership.peers().length + 1,
     isBlocked: (fingerprint) => fleetReports.isBlocked(fingerprint),
     isTargetPathLost: () => targetPath.isLost,
+    isTargetPathInDoubt: () => targetPath.isInDoubt,
     livePeers: (atMs) => membership.livePeers(atMs),
     onLimitChanged({ id, service }, limitPerS) {
       log.event("target_limit", { target: id, service, limitPerS });
--- a/src/node/entry/request_dependencies.ts
+++ b/src/node/entry/request_dependencies.ts
@@ -66,6 +66,8 @@
   readonly isBlocked: (fingerprint: string) => boolean;
   /** Whether this host reaches no target. */
   readonly isTargetPathLost: () => boolean;
+  /** Whether it may reach none; see `TargetPath.isInDoubt`. */
+  readonly isTargetPathInDoubt: () => boolean;
   /** Live hosts other than this one. */
   readonly livePeers: (nowMs: number) => readonly HostRecord[];
   /** Called when a response changes the limit that its target states. */
@@ -277,6 +279,7 @@
       });
     },
     isTargetPathLost: options.isTargetPathLost,
+    isTargetPathInDoubt: options.isTargetPathInDoubt,
     chooseRelayHost: ({ route, organisation, triedRelayHostIds }, nowMs) =>
       chooseRelayHost(options.livePeers(nowMs), {
         region: options.hostLocality.region,
--- a/src/node/entry/target_path_monitor.ts
+++ b/src/node/entry/target_path_monitor.ts
@@ -41,6 +41,11 @@
     return this.#path.isLost;
   }
 
+  /** Whether the path may be lost; see `TargetPath.isInDoubt`. */
+  get isInDoubt(): boolean {
+    return this.#path.isInDoubt;
+  }
+
   /** Records that a connection to a target was established. */
   recordConnected(): void {
     const { log, metrics, nowMs, targets, onChanged } = this.#options;
