Refuse requests that may outlast a stopping host

A stopping host took requests until 55% of its grace period and exited at 95%, with those in progress cut off.

The deadline of a request is now compared with the exit on arrival; one that may last longer is refused as not run, so the caller can use another host at once.

--- a/src/core/request/arrival.ts
+++ b/src/core/request/arrival.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Document, Organisation, Route } from "../document/document.ts";
+import type { Organisation, Route } from "../document/document.ts";
 import { hash32, hashToUnitInterval, mix32 } from "../hash32.ts";
 import { hasDotSegment } from "./request_path.ts";
 import type { PipelineDependencies } from "./dependencies.ts";
@@ -22,7 +22,8 @@
   };
 
 /**
- * Checks host state, headers, route, key, body length and quota, in this order.
+ * Checks host state, headers, route, key, body length, deadline and quota, in
+ * this order.
  * The quota is not checked for a relayed request, as the host that relays it has
  * taken the token.
  */
@@ -69,6 +70,16 @@
       ...context,
     };
   }
+  const deadlineMs = computeDeadlineMs(incoming, route, nowMs);
+  if (deadlineMs > dependencies.latestDeadlineMs()) {
+    return {
+      refusalReason: {
+        kind: "host_leaving",
+        reason: "this host may stop before the deadline of the request",
+      },
+      ...context,
+    };
+  }
   const isRelayed = incoming.relayedAttempts !== undefined;
   const quotaDecision = organisation === undefined || isRelayed
     ? undefined
@@ -85,7 +96,7 @@
     request: createRequest(incoming, {
       route,
       organisation,
-      document,
+      deadlineMs,
       dependencies,
       nowMs,
     }),
@@ -124,33 +135,42 @@
   };
 }
 
+/** Returns the earlier deadline of caller and route. */
+function computeDeadlineMs(
+  { timeoutMs }: IncomingRequest,
+  route: Route,
+  nowMs: number,
+): number {
+  const limitMs = Math.min(
+    timeoutMs > 0 ? timeoutMs : Infinity,
+    route.timeoutMs > 0 ? route.timeoutMs : Infinity,
+  );
+  return nowMs + (limitMs === Infinity ? DEFAULT_TIMEOUT_MS : limitMs);
+}
+
 function createRequest(
   incoming: IncomingRequest,
-  { route, organisation, dependencies, nowMs }: {
+  { route, organisation, deadlineMs, dependencies, nowMs }: {
     route: Route;
     organisation: Organisation | undefined;
-    document: Document;
+    deadlineMs: number;
     dependencies: PipelineDependencies;
     nowMs: number;
   },
 ): RequestState {
-  const { requestId, affinityKey, timeoutMs, bodyBytes } = incoming;
+  const { requestId, affinityKey, bodyBytes } = incoming;
   const affinityHash = affinityKey === ""
     ? Math.floor(dependencies.random() * 2 ** 32)
     : hash32(affinityKey);
   const service = dependencies.pickService(route, affinityHash);
   const keyHash = mix32(hash32(service), affinityHash);
-  const limitMs = Math.min(
-    timeoutMs > 0 ? timeoutMs : Infinity,
-    route.timeoutMs > 0 ? route.timeoutMs : Infinity,
-  );
   return {
     requestId,
     route,
     service,
     organisation,
     arrivedMs: nowMs,
-    deadlineMs: nowMs + (limitMs === Infinity ? DEFAULT_TIMEOUT_MS : limitMs),
+    deadlineMs,
     keyHash: route.sticky && affinityKey !== "" ? keyHash : undefined,
     versionBucket: hashToUnitInterval(mix32(keyHash, VERSION_SALT)),
     isRelayed: incoming.relayedAttempts !== undefined,
--- a/src/core/request/dependencies.ts
+++ b/src/core/request/dependencies.ts
@@ -24,6 +24,8 @@
   document(): Document | undefined;
   /** Returns why the host refuses all requests; `undefined` if it does not. */
   findHostRefusal(nowMs: number): RefusalReason | undefined;
+  /** Time by which all requests must have ended; Infinity without one. */
+  latestDeadlineMs(): number;
   findRoute(host: string, path: string): Route | undefined;
   findOrganisation(keyDigest: string): Organisation | undefined;
   /**
--- a/src/core/request/pipeline_test.ts
+++ b/src/core/request/pipeline_test.ts
@@ -56,6 +56,7 @@
   const dependencies: PipelineDependencies = {
     document: () => document,
     findHostRefusal: () => undefined,
+    latestDeadlineMs: () => Infinity,
     findRoute: (host, path) =>
       host === route.host && path.startsWith(route.pathPrefix)
         ? route
@@ -271,6 +272,9 @@
         }),
       },
     }),
+    "host stops before the deadline": refuse({
+      dependencies: { latestDeadlineMs: () => 999 },
+    }),
     "malformed header": refuse({
       incoming: { malformation: "the deadline is not a number" },
     }),
--- a/src/core/stop/graceful_stop.ts
+++ b/src/core/stop/graceful_stop.ts
@@ -51,6 +51,15 @@
     return elapsedFraction >= REFUSE_AFTER_FRACTION ? "refusing" : "leaving";
   }
 
+  /**
+   * Time at which the process exits even with requests in progress; Infinity
+   * while no stop has begun.
+   */
+  get exitsAtMs(): number {
+    if (this.#beganMs === undefined) return Infinity;
+    return this.#beganMs + EXIT_AFTER_FRACTION * this.#graceMs();
+  }
+
   /** Whether the process may exit with this number of requests in progress. */
   mayExit(requestsInProgress: number, nowMs: number): boolean {
     const phase = this.phaseAt(nowMs);
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -236,6 +236,7 @@
     counts,
     random,
     findHostRefusal,
+    latestDeadlineMs: () => gracefulStop.exitsAtMs,
     evacuatedZones: () => applier.evacuatedZones,
     coldStartCandidates: () => senderCandidates.forColdStarts(nowMs()),
     limitCandidates: () => senderCandidates.forLimits(nowMs()),
--- a/src/node/entry/request_dependencies.ts
+++ b/src/node/entry/request_dependencies.ts
@@ -56,6 +56,8 @@
   readonly random: Random;
   /** Returns why this host refuses all requests; `undefined` if it does not. */
   readonly findHostRefusal: (nowMs: number) => RefusalReason | undefined;
+  /** Time by which all requests must have ended; Infinity without one. */
+  readonly latestDeadlineMs: () => number;
   readonly evacuatedZones: () => ReadonlySet<string>;
   readonly coldStartCandidates: () => SenderCandidates;
   readonly limitCandidates: () => SenderCandidates;
@@ -169,6 +171,7 @@
     },
     document: () => document,
     findHostRefusal: options.findHostRefusal,
+    latestDeadlineMs: options.latestDeadlineMs,
     findRoute: (host, path) => routes.findRoute(host, path),
     findOrganisation: (digest) => apiKeys.findOrganisation(digest),
     needsKeys: () => (document?.organisations.length ?? 0) > 0,
