Move a relayed request when the other host is dead

A request that was relayed to a host that is then killed or paused waited for its deadline. An idempotent one now moves to another host once the reports of the first have stopped (1.8 s), within its attempts and the retry budget. The test in pipeline_test.ts shows no move before the change.

--- a/src/core/request/dependencies.ts
+++ b/src/core/request/dependencies.ts
@@ -120,5 +120,7 @@
     request: RequestState,
     nowMs: number,
   ): HostAddress | undefined;
+  /** Whether another host is alive, as far as its reports tell. */
+  isHostLive(hostId: string, nowMs: number): boolean;
   readonly random: Random;
 }
--- a/src/core/request/pipeline_test.ts
+++ b/src/core/request/pipeline_test.ts
@@ -92,6 +92,7 @@
     isTargetPathLost: () => false,
     isTargetPathInDoubt: () => false,
     chooseRelayHost: () => undefined,
+    isHostLive: () => true,
     random: () => 0.5,
     ...options.dependencies,
   };
@@ -516,3 +517,23 @@
     "path is there": breakTwice({}),
   });
 });
+
+// Guards against requests that wait for a host that was killed or paused after
+// they had been relayed to it.
+test("a relayed request moves when the other host is dead", (t) => {
+  const killHost = (route: Partial<Route>) => {
+    const pipeline = createTestPipeline({
+      route,
+      dependencies: { ...WITHOUT_PATH, isHostLive: (id) => id !== "host-1" },
+    });
+    pipeline.arrive();
+    pipeline.apply({ type: "tick" }, 500);
+    pipeline.apply({ type: "tick" }, 550);
+    return pipeline.effectLog;
+  };
+  matchSnapshot(t, {
+    "idempotent": killHost({}),
+    "not idempotent": killHost(NOT_IDEMPOTENT),
+    "no attempt left": killHost({ maxAttempts: 1 }),
+  });
+});
--- a/src/core/request/transition.ts
+++ b/src/core/request/transition.ts
@@ -163,15 +163,15 @@
   }
 
   /**
-   * Ends requests whose deadline has passed and starts connection checks of
-   * silent targets.
+   * Ends requests whose deadline has passed, moves those that were relayed to
+   * dead hosts, and starts connection checks of silent targets.
    */
   handleTick(): void {
     for (const request of [...this.#state.requests.values()]) {
       if (request.deadlineMs <= this.#nowMs) this.#endAtDeadline(request);
       else if (request.currentAttempt !== undefined) {
         this.#checkSilentTarget(request);
-      }
+      } else if (request.isRelayInFlight) this.#checkRelayHost(request);
     }
   }
 
@@ -383,6 +383,14 @@
     this.effects.push({ type: "check_target", target });
   }
 
+  /** Moves a relayed request when the other host is dead. */
+  #checkRelayHost(request: RequestState): void {
+    const hostId = request.triedRelayHostIds.at(-1);
+    if (hostId === undefined) return;
+    if (this.#dependencies.isHostLive(hostId, this.#nowMs)) return;
+    this.#moveToOtherTarget(request);
+  }
+
   /**
    * Sends a request to another target when its current target refuses
    * connections. A request that must not run twice keeps waiting, as its
--- a/src/node/entry/request_dependencies.ts
+++ b/src/node/entry/request_dependencies.ts
@@ -290,6 +290,8 @@
         triedHostIds: triedRelayHostIds,
         random: options.random,
       }),
+    isHostLive: (hostId, nowMs) =>
+      options.livePeers(nowMs).some(({ id }) => id === hostId),
     random: options.random,
   };
 
