--- a/src/node/entry/attempt_starter.ts
+++ b/src/node/entry/attempt_starter.ts
@@ -28,8 +28,6 @@
 
 /** Options of an `AttemptStarter`. */
 export interface AttemptStarterOptions {
-  /** Id of this host. */
-  readonly hostId: string;
   readonly dependencies: Pick<PipelineDependencies, "document">;
   /** Connections to targets. */
   readonly pool: ConnectionPool;
@@ -115,7 +113,7 @@
   /** Sends a request to another host, which sends it to a target. */
   startOnHost(effect: RelayEffect, exchange: HttpExchange): void {
     const { host, route, organisation, remainingMs, maxAttempts } = effect;
-    const { headerNames, metrics, hostId } = this.#options;
+    const { headerNames, metrics } = this.#options;
     this.#start(exchange, {
       address: host.peerAddress,
       pool: this.#options.relayPool,
@@ -125,7 +123,7 @@
       formatHead: (request, requestId, framing) =>
         formatRelayHead(
           request,
-          { remainingMs, hostId, maxAttempts, requestId },
+          { remainingMs, maxAttempts, requestId },
           framing,
           headerNames,
         ),
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -276,7 +276,6 @@
   });
   let generatedIds = 0;
   const handler = new RequestHandler({
-    hostId: host.id,
     dependencies,
     createRequestId: () => {
       generatedIds += 1;
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -44,8 +44,6 @@
 
 /** Options of a `RequestHandler`. */
 export interface RequestHandlerOptions {
-  /** Id of this host. */
-  readonly hostId: string;
   readonly dependencies: PipelineDependencies;
   /** Connections to targets. */
   readonly pool: ConnectionPool;
--- a/src/node/entry/request_handler_test.ts
+++ b/src/node/entry/request_handler_test.ts
@@ -29,7 +29,6 @@
   } as unknown as PipelineDependencies;
   const pool = new ConnectionPool({ nowMs: monotonicMs });
   const handler = new RequestHandler({
-    hostId: "host-1",
     dependencies,
     pool,
     relayPool: pool,
--- a/src/node/front/headers.ts
+++ b/src/node/front/headers.ts
@@ -38,17 +38,15 @@
 export interface RelayHeaders {
   /** Time left for the other host, in milliseconds. */
   readonly remainingMs: number;
-  /** Id of this host. */
-  readonly hostId: string;
   /** Attempts that the other host may make. */
   readonly maxAttempts: number;
   /** Id of a request that the caller sent without one; "" otherwise. */
   readonly requestId: string;
 }
 
-/** Header that names the host that relays a request. */
-export const RELAYED_BY_HEADER = "x-cranberry-relayed-by";
-/** Header with the attempts that the host that relays a request allows. */
+/**
+ * Header of a relayed request: the attempts that the host that relays it allows.
+ */
 export const RELAYED_ATTEMPTS_HEADER = "x-cranberry-relayed-attempts";
 
 /** Framing of a request body. */
@@ -97,8 +95,7 @@
   framing: BodyFraming,
   headerNames: HeaderNames,
 ): string {
-  const lines = `${RELAYED_BY_HEADER}: ${added.hostId}\r\n` +
-    `${RELAYED_ATTEMPTS_HEADER}: ${added.maxAttempts}\r\n`;
+  const lines = `${RELAYED_ATTEMPTS_HEADER}: ${added.maxAttempts}\r\n`;
   return formatHead(request, { ...added, lines }, framing, {
     headerNames,
     omitted: [],
@@ -127,7 +124,6 @@
   const allOmitted = new Set([
     "content-length",
     "host",
-    RELAYED_BY_HEADER,
     RELAYED_ATTEMPTS_HEADER,
     headerNames.timeoutMs,
     headerNames.targetId,
