--- a/src/node/target/attempt_test.ts
+++ b/src/node/target/attempt_test.ts
@@ -191,6 +191,23 @@
   assert.equal(result.mayHaveReachedTarget, false);
 });
 
+// Guards against a response whose target stops within the head, or within the
+// body, and closes the connection, and that looks complete to the caller.
+test("a response that is cut at any byte is not answered", async (t) => {
+  const whole = formatResponse("r1", "abc");
+  let sentLength = 0;
+  const { send } = await startTarget(t, (socket) => {
+    socket.end(whole.slice(0, sentLength));
+    sentLength += 1;
+  });
+  for (let length = 0; length < whole.length; length++) {
+    const { end } = await send({ requestId: "r1" });
+    assert.equal(end.outcome, "broken", JSON.stringify(whole.slice(0, length)));
+  }
+  const { end } = await send({ requestId: "r1" });
+  assert.equal(end.outcome, "answered");
+});
+
 /** Pieces that a target sends one after the other until its caller closes. */
 const ENDLESS_PIECES: Record<string, { first: string; piece: string }> = {
   "a status line": { first: "", piece: "x".repeat(1_000) },
