--- a/src/core/targets/target_table_test.ts
+++ b/src/core/targets/target_table_test.ts
@@ -27,3 +27,22 @@
   assert.equal(limitAfter({ outcome: "failed", status, limitPerS: 3 }), 3);
   assert.equal(limitAfter({ outcome: "answered", status: 200 }), undefined);
 });
+
+// Guards against targets that stay ejected for seconds after this host has
+// regained its path, though nothing was wrong with them.
+test("failed connections can be forgotten", () => {
+  const targets = new TargetTable();
+  targets.put(sampleRegistration(), 0);
+  const [state] = targets.ofService("stockdesk");
+  for (let nowMs = 0; nowMs < 500; nowMs += 100) {
+    targets.endAttempt(
+      targets.beginAttempt(state, undefined, nowMs),
+      { outcome: "unreachable", status: 0 },
+      nowMs,
+    );
+  }
+  assert.equal(state.health.isEjected(500), true);
+  targets.forgetFailedConnections();
+  assert.equal(state.health.isEjected(500), false);
+  assert.equal(state.health.failureFraction(500), 0);
+});
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -8,11 +8,10 @@
 import { Quotas } from "../../core/limits/quotas.ts";
 import { Membership } from "../../core/membership/membership.ts";
 import { CandidateCache } from "../../core/membership/candidate_cache.ts";
+import { HostReadiness } from "../../core/membership/host_readiness.ts";
 import { mayServe } from "../../core/membership/restart_gate.ts";
-import type { HostState } from "../../core/membership/types.ts";
 import { Releases } from "../../core/release/releases.ts";
 import { VersionCounts } from "../../core/release/version_counts.ts";
-import type { RefusalReason } from "../../core/request/types.ts";
 import type { EntrySettings } from "../../core/settings/entry_settings.ts";
 import { GracefulStop } from "../../core/stop/graceful_stop.ts";
 import type { ObjectKind } from "../../core/store/types.ts";
@@ -148,6 +147,18 @@
   const gracefulStop = new GracefulStop(() =>
     options.settings.current.bounds.graceMs
   );
+  let listeningMs = Infinity;
+  const readiness = new HostReadiness({
+    stopPhase: (atMs) => gracefulStop.phaseAt(atMs),
+    hasDocument: () => applier.document !== undefined,
+    isInformed: (atMs) =>
+      mayServe({
+        isFirstStart: settings.firstStart,
+        hasPeerReport: membership.hasReports,
+        listeningMs,
+      }, atMs),
+  });
+  const hostState = () => readiness.stateAt(nowMs());
 
   const targetPath = new TargetPathMonitor({
     targets,
@@ -235,7 +246,7 @@
     releases,
     counts,
     random,
-    findHostRefusal,
+    findHostRefusal: (atMs) => readiness.findRefusal(atMs),
     latestDeadlineMs: () => gracefulStop.exitsAtMs,
     evacuatedZones: () => applier.evacuatedZones,
     coldStartCandidates: () => senderCandidates.forColdStarts(nowMs()),
@@ -368,34 +379,6 @@
     isStopping: () => gracefulStop.phaseAt(nowMs()) !== "serving",
   });
 
-  let listeningMs = Infinity;
-
-  function isInformed(atMs: number): boolean {
-    return mayServe({
-      isFirstStart: settings.firstStart,
-      hasPeerReport: membership.hasReports,
-      listeningMs,
-    }, atMs);
-  }
-
-  function hostState(): HostState {
-    const atMs = nowMs();
-    if (gracefulStop.phaseAt(atMs) !== "serving") return "leaving";
-    const isReady = applier.document !== undefined && isInformed(atMs);
-    return isReady ? "ready" : "starting";
-  }
-
-  function findHostRefusal(atMs: number): RefusalReason | undefined {
-    const phase = gracefulStop.phaseAt(atMs);
-    if (phase === "refusing" || phase === "ended") {
-      return { kind: "host_leaving", reason: "this host is stopping" };
-    }
-    return isInformed(atMs) ? undefined : {
-      kind: "host_starting",
-      reason: "no other host has reported to this one yet",
-    };
-  }
-
   function reload(): void {
     const result = options.settings.reload();
     if (result.type === "changed") {
