--- a/src/core/request/arrival.ts
+++ b/src/core/request/arrival.ts
@@ -23,9 +23,8 @@
 
 /**
  * Checks host state, headers, route, key, body length, deadline and quota, in
- * this order.
- * The quota is not checked for a relayed request, as the host that relays it has
- * taken the token.
+ * this order. The quota is not checked for a relayed request, as the host that
+ * relays it has taken the token.
  */
 export function checkArrival(
   incoming: IncomingRequest,
--- a/src/core/request/transition.ts
+++ b/src/core/request/transition.ts
@@ -5,12 +5,16 @@
  *
  * @module
  */
-import type { CrashVerdict } from "../crashes/crash_attribution.ts";
 import { createRefusal, replaceNotRunKind } from "../errors.ts";
 import type { HostAddress } from "../membership/types.ts";
 import type { AvailabilityStatement } from "../targets/stated_availability.ts";
 import type { AttemptEnd, AttemptOutcome } from "../targets/types.ts";
 import { checkArrival } from "./arrival.ts";
+import {
+  type CrashContext,
+  recordAttemptOutcome,
+  recordRefusedConnection,
+} from "./crash_effects.ts";
 import type { PipelineDependencies } from "./dependencies.ts";
 import { recordAttemptEnd } from "./attempt_statistics.ts";
 import { provesNotRun } from "./outcomes.ts";
@@ -18,7 +22,6 @@
 import { type AttemptEndedEvent, prepareRetry } from "./retry_decision.ts";
 import { isTargetSilent } from "./silent_target.ts";
 import type {
-  CurrentAttempt,
   IncomingRequest,
   RefusalContext,
   RefusalReason,
@@ -110,7 +113,16 @@
       // The other host may have made all attempts that it was allowed.
       if (wasRelayed) request.countedAttempts = request.maxAttempts;
     }
-    if (attempt !== undefined) this.#attributeCrash(request, attempt, end);
+    if (attempt !== undefined) {
+      const { target } = attempt.handle.state;
+      this.effects.push(
+        ...recordAttemptOutcome(
+          request.fingerprint,
+          { target, outcome },
+          this.#crashContext(),
+        ),
+      );
+    }
     if (outcome === "answered") {
       this.#dependencies.recordResponseBytes(request, responseBytes);
       this.effects.push({ type: "deliver", requestId: request.requestId });
@@ -129,15 +141,15 @@
       nowMs: this.#nowMs,
     });
     if (mayRetry) return this.#startAttempt(request);
+    // A target that sheds load may accept requests again soon. Another host has
+    // stated when.
+    const shedRetryAfterMs = wasRelayed
+      ? end.retryAfterMs
+      : SHED_RETRY_AFTER_MS;
     this.#endWithRefusal(request, {
       kind: request.mayHaveRun ? "target_failed" : "no_room",
       reason: `the last attempt ended with outcome ${outcome}`,
-      // A target that sheds load may accept requests again soon.
-      retryAfterMs: outcome !== "shed"
-        ? undefined
-        : wasRelayed
-        ? end.retryAfterMs
-        : SHED_RETRY_AFTER_MS,
+      retryAfterMs: outcome === "shed" ? shedRetryAfterMs : undefined,
     });
   }
 
@@ -146,7 +158,9 @@
    * as unreachable and moves its requests.
    */
   handleConnectionRefused(targetId: string): void {
-    this.#recordRefusedConnection(targetId);
+    this.effects.push(
+      ...recordRefusedConnection(targetId, this.#crashContext()),
+    );
     this.#dependencies.recordUnreachable(targetId, this.#nowMs);
     for (const request of [...this.#state.requests.values()]) {
       if (request.currentAttempt?.handle.state.target.id === targetId) {
@@ -301,51 +315,12 @@
     });
   }
 
-  #attributeCrash(
-    { fingerprint }: RequestState,
-    { handle }: CurrentAttempt,
-    { outcome }: AttemptEnd,
-  ): void {
-    const { target } = handle.state;
-    const { id, version } = target;
-    const { crashAttribution } = this.#state;
-    if (outcome === "broken") {
-      const request = { fingerprint, version };
-      this.#emitCrashEffects(
-        id,
-        crashAttribution.recordBrokenAttempt(id, request, this.#nowMs),
-      );
-      this.effects.push({ type: "check_target", target });
-    } else if (outcome === "unreachable") {
-      this.#recordRefusedConnection(id);
-    } else if (outcome === "answered") {
-      crashAttribution.recordResponse(fingerprint, version);
-    }
-  }
-
-  /**
-   * Completes the crash of a target, unless this host may have lost its path:
-   * then several targets seem to have crashed at once.
-   */
-  #recordRefusedConnection(targetId: string): void {
-    if (this.#dependencies.isTargetPathInDoubt()) return;
-    const { crashAttribution } = this.#state;
-    this.#emitCrashEffects(
-      targetId,
-      crashAttribution.recordRefusedConnection(targetId, this.#nowMs),
-    );
-  }
-
-  #emitCrashEffects(
-    targetId: string,
-    { blocked, suspected }: CrashVerdict,
-  ): void {
-    for (const fingerprint of blocked) {
-      this.effects.push({ type: "block", fingerprint });
-    }
-    for (const fingerprint of suspected) {
-      this.effects.push({ type: "suspect", fingerprint, targetId });
-    }
+  #crashContext(): CrashContext {
+    return {
+      crashAttribution: this.#state.crashAttribution,
+      isTargetPathInDoubt: this.#dependencies.isTargetPathInDoubt(),
+      nowMs: this.#nowMs,
+    };
   }
 
   #endAtDeadline(request: RequestState): void {
