End pipelined requests when their connection closes

Node.js emits no close event for the response to a pipelined request whose turn has not come. Such a request went on at its target after its caller had left, stayed in progress for good, and a stopping host waited for it until 95% of its grace period. The end of the request with its socket destroyed now ends it too.

--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -136,6 +136,11 @@
       TICK_INTERVAL_MS,
     );
     res.once("close", () => this.#handleClose(exchange));
+    // Node.js does not close the response to a pipelined request whose turn has
+    // not come when the connection closes.
+    req.once("close", () => {
+      if (req.socket.destroyed) this.#handleClose(exchange);
+    });
     res.on("drain", () => exchange.attempt?.resumeStream());
     this.dispatch({
       type: "request_arrived",
@@ -293,7 +298,7 @@
   #handleClose(exchange: HttpExchange): void {
     const { id, res, callerRequestId, startedMs, routeId, req } = exchange;
     const { nowMs, metrics, log } = this.#options;
-    this.#exchanges.delete(id);
+    if (!this.#exchanges.delete(id)) return;
     const tookMs = nowMs() - startedMs;
     if (!res.writableFinished && exchange.end !== "broken") {
       exchange.end = "caller_left";
