Answer pipelined requests before a stopping host closes their connection

From SIGTERM on, each response asked its caller to close the connection. With pipelined requests the first response closed it, and the others, which had been passed on to targets, ended without a response. In stop_test.ts 1 of 3 was answered before the change, and all 3 are now: only the response to the newest request on a connection closes it.

--- a/src/node/entry/attempt_starter.ts
+++ b/src/node/entry/attempt_starter.ts
@@ -38,8 +38,8 @@
   readonly metrics: Metrics;
   readonly tracing: Tracing;
   readonly nowMs: () => number;
-  /** Whether to ask callers to close their connections. */
-  readonly closesConnections: () => boolean;
+  /** Whether to close the caller's connection after the response. */
+  readonly closesConnection: (exchange: HttpExchange) => boolean;
   /** Passes an event to the request pipeline. */
   readonly dispatch: (event: RequestEvent) => void;
 }
@@ -148,7 +148,7 @@
   #start(exchange: HttpExchange, options: StartOptions): void {
     const { address, pool, isRelay, route, formatHead, onEnded } = options;
     const { req, id, callerRequestId, body } = exchange;
-    const { headerNames, nowMs, tracing, dispatch, closesConnections } =
+    const { headerNames, nowMs, tracing, dispatch, closesConnection } =
       this.#options;
     if (body === undefined) return;
     exchange.routeId = route.id;
@@ -189,7 +189,7 @@
         onStreamStarted: (head) => {
           dispatch({ type: "response_started", requestId: id });
           startStreamedResponse(exchange.res, head, {
-            closesConnection: closesConnections(),
+            closesConnection: closesConnection(exchange),
           });
         },
         onStreamData: (chunk) => exchange.res.write(chunk),
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { PipelineDependencies } from "../../core/request/dependencies.ts";
 import {
   createPipelineState,
@@ -74,6 +75,8 @@
   readonly #attempts: AttemptStarter;
   readonly #state = createPipelineState();
   readonly #exchanges = new Map<number, HttpExchange>();
+  /** Identifier of the newest request on each connection. */
+  readonly #lastIdBySocket = new WeakMap<Socket, number>();
   #nextId = 1;
   #tickTimer: NodeJS.Timeout | undefined;
   #idleCallbacks: (() => void)[] = [];
@@ -82,6 +85,7 @@
     this.#options = options;
     this.#attempts = new AttemptStarter({
       ...options,
+      closesConnection: (exchange) => this.#closesConnection(exchange),
       dispatch: (event) => this.dispatch(event),
     });
   }
@@ -131,6 +135,7 @@
       end: "",
     };
     this.#exchanges.set(id, exchange);
+    this.#lastIdBySocket.set(req.socket, id);
     this.#tickTimer ??= setInterval(
       () => this.dispatch({ type: "tick" }),
       TICK_INTERVAL_MS,
@@ -264,7 +269,11 @@
     const { result, res } = exchange;
     exchange.end = "answered";
     if (result?.response === undefined) res.end();
-    else writeBufferedResponse(res, result.response, this.#responseOptions());
+    else {writeBufferedResponse(
+        res,
+        result.response,
+        this.#responseOptions(exchange),
+      );}
   }
 
   #refuse({ refusal, context }: RefuseEffect, exchange: HttpExchange): void {
@@ -286,13 +295,22 @@
     if (res.headersSent || res.destroyed) return;
     body?.dispose();
     writeRefusal(res, refusal, {
-      ...this.#responseOptions(),
+      ...this.#responseOptions(exchange),
       extraHeaders: { [headerNames.requestId]: callerRequestId },
     });
   }
 
-  #responseOptions() {
-    return { closesConnection: this.#options.closesConnections() };
+  #responseOptions(exchange: HttpExchange) {
+    return { closesConnection: this.#closesConnection(exchange) };
+  }
+
+  /**
+   * Whether to close the connection after a response: not before the last of the
+   * pipelined requests, as the responses to the others could not be sent.
+   */
+  #closesConnection({ req, id }: HttpExchange): boolean {
+    return this.#options.closesConnections() &&
+      this.#lastIdBySocket.get(req.socket) === id;
   }
 
   #handleClose(exchange: HttpExchange): void {
