--- a/review/common/fleet.ts
+++ b/review/common/fleet.ts
@@ -22,6 +22,19 @@
   "vis-a": "visayas",
   "min-a": "mindanao",
 };
+const CONTRACTS = [
+  "base",
+  "drain",
+  "config",
+  "cost",
+  "retry",
+  "recover",
+  "places",
+  "tenants",
+  "quota",
+  "rollout",
+  "platform",
+];
 /** Figures of the small site, as its settings files state them. */
 const BOUNDS = [
   "seedLag=3s",
@@ -128,9 +141,19 @@
         discovery: "platform",
         entry: "directory",
         beatInterval: "1500ms",
+        contracts: CONTRACTS,
         bounds: BOUNDS,
         zones: REGIONS,
         listen: { front, ready, control, directory },
+        limits: {
+          cpuShare: 0.54,
+          cores: 1,
+          memoryMb: 350,
+          maxFds: 4_100,
+          linkMbps: 1_000,
+          diskMb: 0,
+        },
+        tolerate: { machines: 1, zones: 1, regions: 1 },
         platform: {
           addr: storeAddress,
           form: "objects",
