--- a/review/common/fleet.ts
+++ b/review/common/fleet.ts
@@ -305,6 +305,9 @@
   }
 
   async #close(): Promise<void> {
+    // A second error while all is ended changes nothing.
+    process.removeAllListeners("uncaughtException");
+    process.on("uncaughtException", () => {});
     for (const { process: child } of this.hosts) {
       if (child.exitCode !== null || child.signalCode !== null) continue;
       const exited = new Promise((done) => child.once("exit", done));
@@ -318,12 +321,20 @@
   }
 }
 
+/** Longest run of a case, below the limit of 120 s. */
+const MAX_RUN_MS = 110_000;
+
 /** Runs a case; an error of the case itself exits with 2. */
 export async function runCase(
   caseNumber: number,
   play: (fleet: Fleet) => Promise<{ isBroken: boolean; text: string }>,
 ): Promise<void> {
   const fleet = new Fleet(caseNumber);
+  const fail = (reason: unknown) => void fleet.fail(reason);
+  process.on("uncaughtException", fail);
+  process.on("SIGINT", () => fail("interrupted"));
+  process.on("SIGTERM", () => fail("terminated"));
+  setTimeout(() => fail("takes too long"), MAX_RUN_MS).unref();
   try {
     await fleet.finish(await play(fleet));
   } catch (error) {
