--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -1,7 +1,7 @@
 /**
- * All connections to the store on which nothing has passed for two seconds go
- * silent, once. After `stableWindow`, a new configuration is acknowledged; `configApply` later, all
- * hosts have to apply it.
+ * Half of the connections to the store go silent, once: those on which a watch
+ * has waited for longest. After `stableWindow`, a new configuration is
+ * acknowledged; `configApply` later, all hosts have to apply it.
  *
  * @module
  */
@@ -35,7 +35,7 @@
   await fleet.waitUntilReady();
   await sleep(4_000);
   if (fleet.hasTrouble) {
-    const { silenced, open } = fleet.store.silenceIdle(2_000);
+    const { silenced, open } = fleet.store.silenceHalf();
     fleet.record(`${silenced} of ${open} connections to the store go silent`);
   }
   await sleep(STABLE_WINDOW_MS + 500);
--- a/review/common/fleet.ts
+++ b/review/common/fleet.ts
@@ -299,7 +299,7 @@
   /** Ends all after an error of the case itself. */
   async fail(error: unknown): Promise<never> {
     this.record(`could not run: ${error}`);
-    await this.#close();
+    await this.#close().catch((closeError) => console.error(closeError));
     console.error(error);
     process.exit(2);
   }
@@ -329,7 +329,13 @@
   caseNumber: number,
   play: (fleet: Fleet) => Promise<{ isBroken: boolean; text: string }>,
 ): Promise<void> {
-  const fleet = new Fleet(caseNumber);
+  let fleet: Fleet;
+  try {
+    fleet = new Fleet(caseNumber);
+  } catch (error) {
+    console.error(error);
+    process.exit(2);
+  }
   const fail = (reason: unknown) => void fleet.fail(reason);
   process.on("uncaughtException", fail);
   process.on("SIGINT", () => fail("interrupted"));
--- a/review/common/store.ts
+++ b/review/common/store.ts
@@ -102,12 +102,14 @@
   }
 
   /**
-   * Lets the connections go silent on which nothing has passed for a time.
-   * Returns their number and that of all open connections.
+   * Lets at most half of the open connections go silent: those on which a watch
+   * has waited for longest. Returns their number and that of all.
    */
-  silenceIdle(minIdleMs: number): { silenced: number; open: number } {
-    const latestMs = performance.now() - minIdleMs;
-    const idle = [...this.#sockets].filter(([, lastMs]) => lastMs <= latestMs);
+  silenceHalf(): { silenced: number; open: number } {
+    const open = this.#sockets.size;
+    const waiting = new Set([...this.#watches].map(({ socket }) => socket));
+    const idle = [...this.#sockets].filter(([socket]) => waiting.has(socket))
+      .sort(([, a], [, b]) => a - b).slice(0, Math.floor(open / 2));
     for (const [socket] of idle) {
       this.#silenced.add(socket);
       // Not even its end arrives.
@@ -116,7 +118,7 @@
     for (const watch of [...this.#watches]) {
       if (this.#silenced.has(watch.socket)) watch.stop();
     }
-    return { silenced: idle.length, open: this.#sockets.size };
+    return { silenced: idle.length, open };
   }
 
   #objects(kind: string): Map<string, StoredObject> {
