Reject response heads that Node.js refuses to send on

Cause: the response parser accepted each byte but NUL, CR and LF in status text and header values, while Node.js throws in writeHead for all control characters but the tab. The request had left the pipeline as answered by then, and its deadline with it.

The parser now accepts the bytes of RFC 9110, section 5.5, in the status text, headers, trailers and chunk extensions. Others break the attempt as any malformed response does, before the request is decided.

--- a/src/node/target/response_parser.ts
+++ b/src/node/target/response_parser.ts
@@ -17,10 +17,14 @@
 const LF = 0x0a;
 const CR = 0x0d;
 
-const STATUS_LINE = /^HTTP\/1\.([01]) ([1-5]\d\d)(?: ([^\0\r\n]*))?$/;
+// Text holds tabs and the bytes 0x20 to 0x7e and 0x80 to 0xff, as in RFC 9110
+// section 5.5. Node.js throws when a head with any other byte is passed on.
+const STATUS_LINE =
+  /^HTTP\/1\.([01]) ([1-5]\d\d)(?: ([\t\x20-\x7e\x80-\xff]*))?$/;
 const HEADER_LINE =
-  /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\0\r\n]*?)[ \t]*$/;
-const CHUNK_SIZE_LINE = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\0\r\n]*)?$/;
+  /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*$/;
+const CHUNK_SIZE_LINE =
+  /^([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?$/;
 const CONTENT_LENGTH = /^\d{1,15}$/;
 const KEEP_ALIVE_TIMEOUT = /(?:^|[\s,;])timeout=(\d{1,6})(?:$|[\s,;])/i;
 
--- a/src/node/target/response_parser_test.ts
+++ b/src/node/target/response_parser_test.ts
@@ -1,8 +1,11 @@
 import assert from "node:assert/strict";
+import { IncomingMessage, ServerResponse } from "node:http";
+import { Socket } from "node:net";
 import { test } from "node:test";
 import fc from "fast-check";
 import { openSnapshots } from "../../testing/snapshot.ts";
-import { ResponseParser } from "./response_parser.ts";
+import { ResponseError, ResponseParser } from "./response_parser.ts";
+import type { ResponseHead } from "./types.ts";
 
 const matchSnapshot = await openSnapshots(import.meta.url);
 
@@ -96,6 +99,18 @@
   "malformed status line": ["garbage\r\n\r\n"],
   "bare line feed": ["HTTP/1.1 200 OK\nContent-Length: 0\n\n"],
   "folded header": [`${OK}A: b\r\n c\r\n\r\n`],
+  "control character in the status line": [
+    "HTTP/1.1 200 O\x01K\r\nContent-Length: 0\r\n\r\n",
+  ],
+  "control character in a header": [
+    `${OK}A: b\x7f\r\nContent-Length: 0\r\n\r\n`,
+  ],
+  "control character in a chunk extension": [
+    `${OK}Transfer-Encoding: chunked\r\n\r\n1;\x02\r\na\r\n0\r\n\r\n`,
+  ],
+  "control character in a trailer": [
+    `${OK}Transfer-Encoding: chunked\r\n\r\n0\r\nT: \x1b\r\n\r\n`,
+  ],
 };
 
 // Guards against malformed or truncated responses that are taken as complete.
@@ -125,3 +140,49 @@
     ),
   );
 });
+
+/** Parses a response to the end of its head; `undefined` if it is malformed. */
+function parseHead(text: string): ResponseHead | undefined {
+  let head: ResponseHead | undefined;
+  const parser = new ResponseParser({
+    onHead: (parsed) => head = parsed,
+    onBody() {},
+    onEnd() {},
+  });
+  try {
+    parser.push(Buffer.from(text, "latin1"));
+  } catch (error) {
+    if (!(error instanceof ResponseError)) throw error;
+  }
+  return head;
+}
+
+// Guards against heads that are taken as valid and that Node.js then refuses to
+// send, so that the caller gets no response or a part of one.
+test("each accepted byte of a head can be sent to a caller", () => {
+  const refused: Record<string, string[]> = { status: [], header: [] };
+  for (let byte = 0; byte <= 0xff; byte++) {
+    const char = String.fromCharCode(byte);
+    const heads = {
+      status: `HTTP/1.1 200 O${char}K\r\nContent-Length: 0\r\n\r\n`,
+      header: `${OK}A: b${char}c\r\nContent-Length: 0\r\n\r\n`,
+    };
+    for (const [place, text] of Object.entries(heads)) {
+      const head = parseHead(text);
+      if (head === undefined) {
+        refused[place].push(byte.toString(16));
+        continue;
+      }
+      const res = new ServerResponse(new IncomingMessage(new Socket()));
+      const { status, statusText, rawHeaders } = head;
+      assert.doesNotThrow(
+        () => res.writeHead(status, statusText, [...rawHeaders]),
+        `byte ${byte} in the ${place} line`,
+      );
+    }
+  }
+  // All control characters but the tab.
+  const controls = [...Array(32).keys(), 0x7f].filter((byte) => byte !== 9)
+    .map((byte) => byte.toString(16));
+  assert.deepEqual(refused, { status: controls, header: controls });
+});
