Answer a request whose response was made invalid by its status text

Callers of review/2 got no failure either when the head of a response could not be written: the error of writeHead was caught, and the 500 that should replace the response threw as well.

Cause: Node.js stores the reason phrase on the response before it validates it, and writeRefusal, which gave none, reused it. The second error passed dispatch and ended in the handler of uncaughtException, which only logs. The request stayed open with all that were pipelined behind it.

A refusal now states its own reason phrase, and a response that can't be written for another reason is closed, so that the caller learns that it gets none.

--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -190,16 +190,21 @@
     if (exchange === undefined) return;
     exchange.attempt?.abort();
     exchange.attempt = undefined;
-    const { metrics, dependencies, headerNames } = this.#options;
+    const { metrics, dependencies, headerNames, log } = this.#options;
     exchange.end = "internal";
     metrics.refusals.inc({ kind: "internal" });
     const { res, callerRequestId } = exchange;
     if (res.headersSent) return void res.destroy();
     exchange.body?.dispose();
-    writeRefusal(res, createRefusal("internal", dependencies.random), {
-      closesConnection: true,
-      extraHeaders: { [headerNames.requestId]: callerRequestId },
-    });
+    try {
+      writeRefusal(res, createRefusal("internal", dependencies.random), {
+        closesConnection: true,
+        extraHeaders: { [headerNames.requestId]: callerRequestId },
+      });
+    } catch (error) {
+      logUnexpectedError(log, "refusal", error);
+      res.destroy();
+    }
   }
 
   #createIncomingRequest(
--- a/src/node/front/response_writer.ts
+++ b/src/node/front/response_writer.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { ServerResponse } from "node:http";
+import { type ServerResponse, STATUS_CODES } from "node:http";
 import type { Refusal } from "../../core/errors.ts";
 import { RAN_HEADER } from "../header_names.ts";
 import type { BufferedResponse, ResponseHead } from "../target/types.ts";
@@ -72,7 +72,8 @@
     headers["retry-after"] = (retryAfterMs / 1_000).toFixed(3);
   }
   if (options.closesConnection) headers["connection"] = "close";
-  res.writeHead(status, headers);
+  // A response that a target's reason phrase made invalid still holds it.
+  res.writeHead(status, STATUS_CODES[status] ?? "", headers);
   res.end(body);
 }
 
