Keep a connection open after an unexpected error in one of its requests

Cause: the refusal after an unexpected error always asked to close the connection, which drops the responses to later requests, while all others close it only behind the last one. The remaining body of the failed request is read and discarded as for any refusal, so the connection stays usable.

Test that failed before: request_handler_test "requests behind one that fails unexpectedly are answered" (only the 500 arrived).

--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -198,7 +198,7 @@
     exchange.body?.dispose();
     try {
       writeRefusal(res, createRefusal("internal", dependencies.random), {
-        closesConnection: true,
+        ...this.#responseOptions(exchange),
         extraHeaders: { [headerNames.requestId]: callerRequestId },
       });
     } catch (error) {
--- a/src/node/entry/request_handler_test.ts
+++ b/src/node/entry/request_handler_test.ts
@@ -93,3 +93,10 @@
   assert.deepEqual(await sendPipelined(port, 1), ["500"]);
   assert.equal(handler.requestsInProgress, 0);
 });
+
+// Guards against pipelined requests that are lost because the refusal of the one
+// before them closes the connection.
+test("requests behind one that fails unexpectedly are answered", async (t) => {
+  const { port } = await startFailingHost(t);
+  assert.deepEqual(await sendPipelined(port, 3), ["500", "503", "503"]);
+});
