Bound the time for which a silent watch hides changes

Cause: a watch waits 12 s for a change and its call 1.5 s longer, and nothing else reads its connection. The probe uses another connection. Hosts find a lag by the positions of their peers, whose watches were as silent. Ruled out: the forwarding between hosts (once one host had the change, the others applied it within 0.7 s in the record) and the store's answers (all calls on new connections were answered).

--- a/src/node/entry/store_replica.ts
+++ b/src/node/entry/store_replica.ts
@@ -35,7 +35,11 @@
 import { type FollowMode, KindFollower } from "../store/kind_follower.ts";
 import { type ObjectStore, StoreError } from "../store/object_store.ts";
 import type { Log } from "../telemetry/log.ts";
-import { KEEP_MISSING_MS, NON_WATCHER_MODES } from "./replica_policies.ts";
+import {
+  findWatchWaitMs,
+  KEEP_MISSING_MS,
+  NON_WATCHER_MODES,
+} from "./replica_policies.ts";
 
 /** Time limit for the response of a peer. */
 const FETCH_TIMEOUT_MS = 800;
@@ -115,6 +119,7 @@
           store,
           random,
           nowMs,
+          watchWaitMs: () => findWatchWaitMs(kind, this.#election.isWatcher),
           onChanges: (changes, previous) =>
             this.#handleChanges(kind, changes, previous),
           onOutdated: (position) =>
@@ -357,6 +362,7 @@
   #updateModes(): void {
     for (const [kind, follower] of this.#followers) {
       follower.setMode(this.#modeOf(kind));
+      follower.renewWatch();
     }
   }
 
--- a/src/node/store/kind_follower.ts
+++ b/src/node/store/kind_follower.ts
@@ -12,13 +12,8 @@
 import type { Random } from "../../core/types.ts";
 import { type ObjectStore, StoreError } from "./object_store.ts";
 
-/**
- * Time after which the store ends a watch without changes. A dead connection
- * is detected by the revisions of other hosts, or at this time.
- */
-const WATCH_TIMEOUT_MS = 12_000;
-/** The same for a watch that only fetches changes that exist already. */
-const CATCH_UP_TIMEOUT_MS = 0;
+/** Wait of a watch that only fetches changes that exist already. */
+const CATCH_UP_WAIT_MS = 0;
 /** Time between two lists in the mode `list`, and the delay of an idle step. */
 const LIST_INTERVAL_MS = 10_000;
 /**
@@ -48,6 +43,8 @@
   readonly store: ObjectStore;
   readonly random: Random;
   readonly nowMs: () => number;
+  /** Returns the longest wait of the next watch, in milliseconds. */
+  readonly watchWaitMs: () => number;
   /**
    * Called after each update of the view. `previous` is the position of the
    * newest change before the update; `undefined` for the first list.
@@ -74,6 +71,8 @@
   #lostHistoryCount = 0;
   #mustList = true;
   #mustCatchUp = false;
+  /** Whether a watch waits for changes. */
+  #isWaiting = false;
   /** Whether the store was restored since the last list. */
   #isRestored = false;
 
@@ -97,6 +96,11 @@
     this.#wakeController.abort();
   }
 
+  /** Replaces a watch that waits, when `watchWaitMs` returns another wait. */
+  renewWatch(): void {
+    if (this.#isWaiting) this.#wakeController.abort();
+  }
+
   /**
    * Fetches changes from the store, when another host holds later ones or the
    * store has recovered: at once, or after the back-off if the last call has
@@ -166,12 +170,15 @@
     const { view } = this.#options;
     if (this.#mustList || this.#mode === "list") return await this.#list();
     const { kind, store, onOutdated } = this.#options;
-    const waitMs = this.#mustCatchUp ? CATCH_UP_TIMEOUT_MS : WATCH_TIMEOUT_MS;
+    const waitMs = this.#mustCatchUp
+      ? CATCH_UP_WAIT_MS
+      : this.#options.watchWaitMs();
     const since = view.position;
+    this.#isWaiting = waitMs > 0;
     const { changes, position } = await store.watch(kind, since.revision, {
       waitMs,
       signal,
-    });
+    }).finally(() => this.#isWaiting = false);
     this.#mustCatchUp = false;
     this.#lostHistoryCount = 0;
     if (isLater(since, position)) onOutdated(position);
--- a/src/node/store/kind_follower_test.ts
+++ b/src/node/store/kind_follower_test.ts
@@ -56,6 +56,7 @@
     store,
     random: () => 1,
     nowMs: () => performance.now(),
+    watchWaitMs: () => 12_000,
     onChanges() {},
     onOutdated() {},
     onHistoryLost() {},
