List objects as of one position however many pages it takes

Cause: each page of a list is as of its own revision, and the store client gave the revision of the last page to the whole list. What changed on an earlier page meanwhile was in neither the list nor the watch behind it.

A list is now as of its oldest page, and when a later page is of a later revision the client fetches the changes between the two with one watch that doesn't wait.

--- a/src/core/store/kind_view.ts
+++ b/src/core/store/kind_view.ts
@@ -11,7 +11,13 @@
   type RestoreOptions,
   UNSTORED_REVISION,
 } from "./restored_objects.ts";
-import type { KindDelta, StoreChange, StoredObject } from "./types.ts";
+import type {
+  KindDelta,
+  StoreChange,
+  StoreChanges,
+  StoredObject,
+  StoreList,
+} from "./types.ts";
 
 /** Tombstones that are kept for deltas to peers. */
 const MAX_TOMBSTONES = 512;
@@ -262,3 +268,20 @@
     this.#changedPosition = { epoch, revision: newest };
   }
 }
+
+/**
+ * Brings a list up to date.
+ *
+ * @param list Objects that may be newer than the list's position.
+ * @param later All changes since that position.
+ */
+export function applyToList(
+  { objects, position }: StoreList,
+  later: StoreChanges,
+): StoreList {
+  const view = new KindView();
+  // Without objects from before a restore, the time has no effect.
+  view.applyList(objects, position, 0);
+  view.applyChanges(later.changes, later.position);
+  return { objects: [...view.objects()], position: later.position };
+}
--- a/src/core/store/types.ts
+++ b/src/core/store/types.ts
@@ -35,6 +35,18 @@
   readonly removed: boolean;
 }
 
+/** All objects of a kind as of a position. */
+export interface StoreList {
+  readonly objects: readonly StoredObject[];
+  readonly position: StorePosition;
+}
+
+/** All changes of a kind up to a position. */
+export interface StoreChanges {
+  readonly changes: readonly StoreChange[];
+  readonly position: StorePosition;
+}
+
 /** Objects of a kind that differ from an earlier revision. */
 export interface KindDelta {
   /** Whether `objects` holds all objects of the kind. */
--- a/src/node/store/object_store.ts
+++ b/src/node/store/object_store.ts
@@ -3,11 +3,10 @@
  *
  * @module
  */
-import type { StorePosition } from "../../core/store/position.ts";
 import type {
   ObjectKind,
-  StoreChange,
-  StoredObject,
+  StoreChanges,
+  StoreList,
 } from "../../core/store/types.ts";
 
 /** Reason why a call failed. */
@@ -33,22 +32,11 @@
   }
 }
 
-/** All objects of a kind as of a position. */
-export interface StoreList {
-  readonly objects: readonly StoredObject[];
-  readonly position: StorePosition;
-}
-
-/** All changes of a kind up to a position. */
-export interface StoreChanges {
-  readonly changes: readonly StoreChange[];
-  readonly position: StorePosition;
-}
-
 /** Client of the store. A call that fails rejects with a `StoreError`. */
 export interface ObjectStore {
   /**
-   * Lists all objects of a kind.
+   * Lists all objects of a kind. The list holds all changes up to its position,
+   * however many calls it takes.
    *
    * @param options `acceptStale` accepts a response that is a few seconds old,
    * which costs the store less. Default: false.
