Keep the newest change of a replica within its position

The position of the newest change is now at most that of the replica.

Test that failed before: kind_view_test "the newest change of a list is not beyond its position" (9 instead of 5).

--- a/src/core/store/kind_view.ts
+++ b/src/core/store/kind_view.ts
@@ -265,7 +265,12 @@
     const { epoch, revision } = this.#changedPosition;
     let newest = Math.max(revision, removalRevision);
     for (const object of changed) newest = Math.max(newest, object.revision);
-    this.#changedPosition = { epoch, revision: newest };
+    // A stale list of several pages holds objects that are newer than its
+    // position, but not all changes up to them.
+    this.#changedPosition = {
+      epoch,
+      revision: Math.min(newest, this.#position.revision),
+    };
   }
 }
 
--- a/src/core/store/kind_view_test.ts
+++ b/src/core/store/kind_view_test.ts
@@ -205,3 +205,16 @@
   );
   assert.deepEqual(versions(view), ["main version 9 at 53"]);
 });
+
+// Guards against hosts that fetch again and again from one whose list holds a
+// newer object than its position, as it claims changes that it doesn't hold.
+test("the newest change of a list is not beyond its position", () => {
+  const view = new KindView();
+  const object = { name: "a", revision: 9, specification: {}, status: null };
+  view.applyList([object], { epoch: 1, revision: 5 }, 0);
+  assert.deepEqual(view.changedPosition, { epoch: 1, revision: 5 });
+  const position = { epoch: 1, revision: 10 };
+  const change = { object: { ...object, revision: 10 }, removed: false };
+  view.applyChanges([change], position);
+  assert.deepEqual(view.changedPosition, position);
+});
