Bound the memory and time that a response of small chunks costs a host

With chunks of one byte, 4 of 10 requests to another target got no answer in 1.5 s.

Cause: up to 256 KiB of body are buffered as a list of the received chunks, and each keeps the whole read from the socket that it is a part of, up to 64 KiB. With chunks of a byte, each is an object and a call for each step up to the caller.

Kept bytes are copied to a buffer of their own, small chunks are passed on once for each read, and a response with 64 KiB more framing than data is broken.

--- a/src/node/target/attempt.ts
+++ b/src/node/target/attempt.ts
@@ -7,6 +7,7 @@
 import { classifyResponse } from "../../core/request/outcomes.ts";
 import type { AvailabilityStatement } from "../../core/targets/stated_availability.ts";
 import type { AttemptOutcome, LoadReport } from "../../core/targets/types.ts";
+import { ByteBuffer } from "../byte_buffer.ts";
 import { type HeaderNames, RAN_HEADER } from "../header_names.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type {
@@ -89,7 +90,8 @@
   #skippedResponses = 0;
   #skippedBytes = 0;
   #head: ResponseHead | undefined;
-  #chunks: Buffer[] = [];
+  /** The body until the response is streamed. */
+  readonly #body = new ByteBuffer();
   #receivedBytes = 0;
   #isStreaming = false;
 
@@ -210,7 +212,7 @@
     }
     this.#receivedBytes += chunk.length;
     if (this.#isStreaming) return this.#forward(chunk);
-    this.#chunks.push(chunk);
+    this.#body.append(chunk);
     if (this.#receivedBytes <= MAX_BUFFERED_BYTES) return;
     const head = this.#head as ResponseHead;
     if (this.#classify(head) !== "answered") {
@@ -218,7 +220,8 @@
     }
     this.#isStreaming = true;
     this.#options.listener.onStreamStarted(head);
-    for (const buffered of this.#chunks.splice(0)) this.#forward(buffered);
+    this.#forward(this.#body.view());
+    this.#body.clear();
   }
 
   #forward(chunk: Buffer): void {
@@ -290,7 +293,7 @@
       mayHaveReachedTarget: this.#isSent,
       response: head === undefined || this.#isStreaming
         ? undefined
-        : { head, body: Buffer.concat(this.#chunks) },
+        : { head, body: this.#body.view() },
       receivedBytes: this.#receivedBytes,
       detail,
     });
--- a/src/node/target/response_parser.ts
+++ b/src/node/target/response_parser.ts
@@ -8,10 +8,23 @@
  *
  * @module
  */
+import { ByteBuffer } from "../byte_buffer.ts";
 import type { ResponseHead } from "./types.ts";
 
 const MAX_HEAD_BYTES = 65_536;
 const MAX_LINE_BYTES = 16_384;
+/**
+ * Bytes by which chunk sizes, extensions and line ends of a response may exceed
+ * its body. Chunks of a byte or long extensions would keep a host busy with bytes
+ * that are no body.
+ */
+const MAX_EXCESS_FRAMING_BYTES = 65_536;
+/** Bytes of a chunk besides its size, its extensions and its data. */
+const CHUNK_LINE_ENDS_BYTES = 4;
+/** Digits of the largest chunk size. */
+const MAX_CHUNK_SIZE_DIGITS = 8;
+/** Parts of a body from this size on are passed on without a copy. */
+const MIN_DIRECT_PART_BYTES = 4_096;
 /** Interim responses before a final one; more of them are no response. */
 const MAX_INTERIM_RESPONSES = 16;
 const LF = 0x0a;
@@ -59,6 +72,13 @@
   #headBytes = 0;
   /** Bytes of the body or the chunk that are still to come. */
   #remainingBytes = 0;
+  /** Bytes of the chunked framing of a response minus those of its body. */
+  #excessFramingBytes = 0;
+  /**
+   * Bytes of small chunks, which are passed on together, as a target may send
+   * thousands of them in one read.
+   */
+  readonly #smallChunks = new ByteBuffer();
   #status = 0;
   #statusText = "";
   #minorVersion = 1;
@@ -93,10 +113,14 @@
           this.#listener.onBody(chunk.subarray(offset));
           offset = chunk.length;
           break;
+        case "chunk_size":
+          offset = this.#readChunkSize(chunk, offset);
+          break;
         default:
           offset = this.#readLine(chunk, offset);
       }
     }
+    this.#passSmallChunks();
   }
 
   /**
@@ -118,19 +142,57 @@
   #readBody(chunk: Buffer, offset: number): number {
     const end = Math.min(chunk.length, offset + this.#remainingBytes);
     this.#remainingBytes -= end - offset;
-    const part = chunk.subarray(offset, end);
     if (this.#state === "chunk") {
       if (this.#remainingBytes === 0) this.#state = "chunk_end";
-      this.#listener.onBody(part);
+      if (end - offset < MIN_DIRECT_PART_BYTES) {
+        this.#smallChunks.append(chunk, offset, end);
+        return end;
+      }
+      this.#passSmallChunks();
+      this.#listener.onBody(chunk.subarray(offset, end));
     } else {
-      this.#listener.onBody(part);
+      this.#listener.onBody(chunk.subarray(offset, end));
       if (this.#remainingBytes === 0) this.#finishResponse();
     }
     return end;
   }
 
+  #passSmallChunks(): void {
+    if (this.#smallChunks.length === 0) return;
+    const bytes = this.#smallChunks.view();
+    this.#smallChunks.clear();
+    this.#listener.onBody(bytes);
+  }
+
+  /**
+   * Reads a chunk size and returns the next offset. A line without extensions
+   * is read without a string, as there may be one for each byte of a body.
+   */
+  #readChunkSize(chunk: Buffer, offset: number): number {
+    if (this.#lineBytes > 0) return this.#readLine(chunk, offset);
+    let size = 0;
+    let end = offset;
+    for (; end < chunk.length; end++) {
+      const digit = parseHexDigit(chunk[end]);
+      if (digit < 0) break;
+      size = size * 16 + digit;
+    }
+    const digitCount = end - offset;
+    const isPlain = digitCount > 0 && digitCount <= MAX_CHUNK_SIZE_DIGITS &&
+      chunk[end] === CR && chunk[end + 1] === LF;
+    if (!isPlain) return this.#readLine(chunk, offset);
+    this.#startChunk(size, digitCount);
+    return end + 2;
+  }
+
   /** Reads a line or a part of it and returns the next offset. */
   #readLine(chunk: Buffer, offset: number): number {
+    const isWholeChunkEnd = this.#state === "chunk_end" &&
+      this.#lineBytes === 0 && chunk[offset] === CR && chunk[offset + 1] === LF;
+    if (isWholeChunkEnd) {
+      this.#state = "chunk_size";
+      return offset + 2;
+    }
     const lfIndex = chunk.indexOf(LF, offset);
     const end = lfIndex < 0 ? chunk.length : lfIndex + 1;
     this.#lineParts.push(chunk.subarray(offset, end));
@@ -196,7 +258,18 @@
   #parseChunkSize(line: string): void {
     const match = CHUNK_SIZE_LINE.exec(line);
     if (match === null) throw new ResponseError("malformed chunk size");
-    this.#remainingBytes = parseInt(match[1], 16);
+    this.#startChunk(parseInt(match[1], 16), line.length);
+  }
+
+  #startChunk(sizeBytes: number, lineLength: number): void {
+    this.#excessFramingBytes = Math.max(
+      0,
+      this.#excessFramingBytes + lineLength + CHUNK_LINE_ENDS_BYTES - sizeBytes,
+    );
+    if (this.#excessFramingBytes > MAX_EXCESS_FRAMING_BYTES) {
+      throw new ResponseError("chunks have more framing than data");
+    }
+    this.#remainingBytes = sizeBytes;
     this.#state = this.#remainingBytes === 0 ? "trailers" : "chunk";
     this.#headBytes = 0;
   }
@@ -213,6 +286,7 @@
       return;
     }
     this.#interimResponses = 0;
+    this.#excessFramingBytes = 0;
     const hasBody = this.method !== "HEAD" && this.#status !== 204 &&
       this.#status !== 304;
     const isUntilClose = hasBody && !framing.isChunked &&
@@ -247,11 +321,19 @@
   }
 
   #finishResponse(): void {
+    this.#passSmallChunks();
     this.#state = "status";
     this.#listener.onEnd();
   }
 }
 
+/** Returns the value of a hexadecimal digit, -1 for another byte. */
+function parseHexDigit(byte: number): number {
+  if (byte >= 0x30 && byte <= 0x39) return byte - 0x30;
+  const upperCase = byte & ~0x20;
+  return upperCase >= 0x41 && upperCase <= 0x46 ? upperCase - 0x37 : -1;
+}
+
 /** Headers that state where the body and the connection end. */
 interface FramingHeaders {
   isChunked: boolean;
--- a/src/node/target/response_parser_test.ts
+++ b/src/node/target/response_parser_test.ts
@@ -99,6 +99,17 @@
   "malformed status line": ["garbage\r\n\r\n"],
   "bare line feed": ["HTTP/1.1 200 OK\nContent-Length: 0\n\n"],
   "folded header": [`${OK}A: b\r\n c\r\n\r\n`],
+  "framing beyond its limit": [
+    `${OK}Transfer-Encoding: chunked\r\n\r\n${"1\r\na\r\n".repeat(17_000)}`,
+  ],
+  "small chunks": [
+    `${OK}Transfer-Encoding: chunked\r\n\r\n${
+      "1\r\na\r\n0002;x\r\nbc\r\n".repeat(3)
+    }0\r\n\r\n`,
+  ],
+  "chunk size of nine digits": [
+    `${OK}Transfer-Encoding: chunked\r\n\r\n000000001\r\na\r\n0\r\n\r\n`,
+  ],
   "control character in the status line": [
     "HTTP/1.1 200 O\x01K\r\nContent-Length: 0\r\n\r\n",
   ],
