Keep request bodies of small chunks in memory of their own

Callers that send their bodies in chunks of one byte could use up the memory of a host: 445 MB with eight callers and 350,000 chunks each (the platform allows 350 MB).

Cause: the same list of received chunks in RequestBody, up to 1 MiB for each request; each chunk is an object and keeps what it was read from. The body is now copied into a ByteBuffer.

--- a/src/node/front/request_body.ts
+++ b/src/node/front/request_body.ts
@@ -6,6 +6,7 @@
  */
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
+import { ByteBuffer } from "../byte_buffer.ts";
 import type { RemainingBody } from "../target/attempt.ts";
 import type { BodyFraming } from "./headers.ts";
 
@@ -25,7 +26,7 @@
   readonly #req: IncomingMessage;
   readonly #listener: BodyListener;
   readonly #maxBytes: number;
-  #chunks: Buffer[] = [];
+  readonly #buffer = new ByteBuffer();
   #receivedBytes = 0;
   #isComplete = false;
   #isReady = false;
@@ -69,9 +70,8 @@
    * buffer of such a body.
    */
   hashContent(method: string, path: string): string {
-    const hash = createHash("sha1").update(`${method} ${path}\n`);
-    for (const chunk of this.#chunks) hash.update(chunk);
-    return hash.digest("base64url");
+    return createHash("sha1").update(`${method} ${path}\n`)
+      .update(this.#buffer.view()).digest("base64url");
   }
 
   /**
@@ -86,7 +86,7 @@
     remainingBody?: RemainingBody;
     framing: BodyFraming;
   } {
-    const buffered = Buffer.concat(this.#chunks);
+    const buffered = this.#buffer.view();
     if (this.#isComplete && !this.#isStreamed) {
       return {
         body: buffered,
@@ -96,7 +96,7 @@
       };
     }
     this.#isStreamed = true;
-    this.#chunks = [];
+    this.#buffer.clear();
     const length = this.#req.headers["content-length"];
     return length === undefined
       ? {
@@ -114,7 +114,7 @@
   /** Discards the body, including the part still to be received. */
   dispose(): void {
     this.#writeChunk = undefined;
-    this.#chunks = [];
+    this.#buffer.clear();
     this.#isReady = true;
     this.#isStreamed = true;
     this.#req.resume();
@@ -147,7 +147,7 @@
       if (this.#writeChunk?.(chunk) === false) this.#req.pause();
       return;
     }
-    this.#chunks.push(chunk);
+    this.#buffer.append(chunk);
     if (this.#receivedBytes <= MAX_BUFFERED_BYTES || this.#isReady) return;
     this.#req.pause();
     this.#isReady = true;
