Do not take a watch that is cut off for a failure of the store

Cause: a store may cut off a watch that waits and work all the while. The host recorded a failure, the next answer as the recovery of the store, and in the 2.2 s after a recovery the removal of an entry is not final. With a watch cut off every 2 to 4 s, that was nearly always. Ruled out: late notice of the removal (the log has target_lapsed within 0.4 s).

The host now asks for changes at once after such a watch, and records a failure only if this call fails too. Watches start at least 0.5 s apart then.

--- a/src/node/store/kind_follower.ts
+++ b/src/node/store/kind_follower.ts
@@ -22,6 +22,11 @@
  * below two seconds.
  */
 const BATCH_DELAY_MS = 350;
+/**
+ * Least time between the starts of two watches when the first one was cut off,
+ * for a store that cuts off watches at once.
+ */
+const MIN_CUT_WATCH_INTERVAL_MS = 500;
 /** Bounds of the exponential back-off after a failed call. */
 const MIN_BACK_OFF_MS = 150;
 const MAX_BACK_OFF_MS = 1_000;
@@ -71,8 +76,8 @@
   #lostHistoryCount = 0;
   #mustList = true;
   #mustCatchUp = false;
-  /** Whether a watch waits for changes. */
-  #isWaiting = false;
+  /** Start of the watch that waits for changes; `undefined` without one. */
+  #waitingSinceMs: number | undefined;
   /** Whether the store was restored since the last list. */
   #isRestored = false;
 
@@ -98,7 +103,7 @@
 
   /** Replaces a watch that waits, when `watchWaitMs` returns another wait. */
   renewWatch(): void {
-    if (this.#isWaiting) this.#wakeController.abort();
+    if (this.#waitingSinceMs !== undefined) this.#wakeController.abort();
   }
 
   /**
@@ -160,9 +165,20 @@
         this.#lostHistoryCount += 1;
         return delayMs;
       }
+      const sinceMs = this.#waitingSinceMs;
+      const isCutOff = error.kind === "unanswered" && sinceMs !== undefined;
+      if (isCutOff && this.#failureCount === 0) {
+        // The store may cut off a watch that waits and work all the while. The
+        // next call tells whether it has failed.
+        this.#mustCatchUp = true;
+        const watchedForMs = this.#options.nowMs() - sinceMs;
+        return Math.max(0, MIN_CUT_WATCH_INTERVAL_MS - watchedForMs);
+      }
       onFailure(error);
       this.#failureCount += 1;
       return this.#backOffMs(this.#failureCount);
+    } finally {
+      this.#waitingSinceMs = undefined;
     }
   }
 
@@ -174,11 +190,11 @@
       ? CATCH_UP_WAIT_MS
       : this.#options.watchWaitMs();
     const since = view.position;
-    this.#isWaiting = waitMs > 0;
+    if (waitMs > 0) this.#waitingSinceMs = this.#options.nowMs();
     const { changes, position } = await store.watch(kind, since.revision, {
       waitMs,
       signal,
-    }).finally(() => this.#isWaiting = false);
+    });
     this.#mustCatchUp = false;
     this.#lostHistoryCount = 0;
     if (isLater(since, position)) onOutdated(position);
--- a/src/node/store/kind_follower_test.ts
+++ b/src/node/store/kind_follower_test.ts
@@ -31,6 +31,7 @@
   const view = new KindView();
   let listCount = 0;
   let watchCount = 0;
+  let failureCount = 0;
   const rejectCall = () => Promise.reject(new Error("unexpected call"));
   const store: ObjectStore = {
     async list() {
@@ -61,7 +62,7 @@
     onOutdated() {},
     onHistoryLost() {},
     onResponse() {},
-    onFailure() {},
+    onFailure: () => failureCount += 1,
   });
   const stop = follower.start();
   const timer = catchUpIntervalMs === undefined
@@ -70,7 +71,7 @@
   await sleep(durationMs);
   clearInterval(timer);
   stop();
-  return { view, listCount, watchCount };
+  return { view, listCount, watchCount, failureCount };
 }
 
 /** Waits until the call is aborted, as a watch without changes does. */
@@ -143,3 +144,33 @@
   assert.deepEqual(view.position, { epoch: 2, revision: 4 });
   assert.equal(view.get("b"), undefined);
 });
+
+const CUT_OFF = new StoreError("unanswered", "the connection was reset");
+
+// Guards against a watch that is cut off and counts as a failure of the store,
+// upon which the registrations that it removes next are kept for seconds, and
+// against calls without a pause to a store that cuts off each watch.
+test("a watch that is cut off is no failure of the store", async () => {
+  const { watchCount, failureCount } = await follow({
+    position: () => ({ epoch: 1, revision: 5 }),
+    watch: (_kind, _revision, { waitMs }) =>
+      waitMs > 0 ? Promise.reject(CUT_OFF) : Promise.resolve({
+        changes: [],
+        position: { epoch: 1, revision: 5 },
+      }),
+    durationMs: 1_000,
+  });
+  assert.equal(failureCount, 0);
+  assert.ok(watchCount >= 3 && watchCount <= 8, `${watchCount} watches`);
+});
+
+// Guards against a store that fails while watches wait and is taken to work.
+test("a store that answers no call after a watch is cut off has failed", async () => {
+  const { watchCount, failureCount } = await follow({
+    position: () => ({ epoch: 1, revision: 5 }),
+    watch: () => Promise.reject(CUT_OFF),
+    durationMs: 1_000,
+  });
+  assert.ok(failureCount >= 1, `${failureCount} failures`);
+  assert.ok(watchCount <= 6, `${watchCount} watches`);
+});
