Let one host's trouble with the store not delay removals at all hosts

Cause: combineStoreReports took the latest recovery that any watching host had observed for the recovery of the store. Entries lapse when the store is away, and that is when no host gets an answer.

The store has now recovered when the first of the hosts that watch is answered again; one that never lost it shows that there was no outage. The recovery that a host has observed itself still counts for this host, since in a cut zone the targets near it are cut off from the store too and come back a moment later. Those hosts aren't in touch for the 3 s after it, so the bound of 2 s holds.

--- a/src/core/store/store_availability.ts
+++ b/src/core/store/store_availability.ts
@@ -43,8 +43,10 @@
 
 /**
  * Combines the reports of the hosts that watch. The store is failing when it
- * fails for all of them, and the latest recovery that any of them observed
- * counts.
+ * fails for all of them, and it has recovered when it answers the first of them
+ * again: one that got answers all the while shows that the failures of the others
+ * were those of their connections. A recovery that this host has observed itself
+ * counts for it, as the targets near it may have been cut off from the store too.
  *
  * @param ownReport Report of this host, used alone when no host watches.
  * @param peers Reports of the other hosts with the time of their arrival.
@@ -60,13 +62,20 @@
   const ownEntry = { report: ownReport, receivedMs: nowMs };
   const watching = [ownEntry, ...peers].filter(({ report }) => report.watches);
   const counted = watching.length > 0 ? watching : [ownEntry];
-  let recoveredMs = -Infinity;
+  let recoveredMs = Infinity;
   let ageMs = Infinity;
-  let isFailing = true;
   for (const { report, receivedMs } of counted) {
-    recoveredMs = Math.max(recoveredMs, receivedMs - report.sinceReturnMs);
     ageMs = Math.min(ageMs, report.ageMs + nowMs - receivedMs);
-    if (!report.isFailing) isFailing = false;
+    if (report.isFailing) continue;
+    recoveredMs = Math.min(recoveredMs, receivedMs - report.sinceReturnMs);
   }
-  return { isFailing, ageMs, recoveredMs };
+  const isFailing = recoveredMs === Infinity;
+  const ownRecoveredMs = nowMs - ownReport.sinceReturnMs;
+  return {
+    isFailing,
+    ageMs,
+    recoveredMs: isFailing
+      ? ownRecoveredMs
+      : Math.max(ownRecoveredMs, recoveredMs),
+  };
 }
