Probe the store on a new connection before it counts as failing

Cause: the probe reuses an idle connection, and one call without an answer was a failure of the store. It is repeated now; the client has closed its idle connections by then, so the second call opens a new one. An outage is noticed 0.6 s later at most when the store is silent, and at once when it refuses.

Test that failed before: silent_connections_test, "idle connections" and "all".

--- a/src/node/entry/store_replica.ts
+++ b/src/node/entry/store_replica.ts
@@ -77,6 +77,10 @@
   readonly broadcastDelta: (pushedDelta: PushedDelta) => void;
 }
 
+function isUnanswered(error: unknown): boolean {
+  return error instanceof StoreError && error.kind === "unanswered";
+}
+
 /** Replicas of all kinds of objects, and the availability of the store. */
 export class StoreReplica {
   readonly #options: StoreReplicaOptions;
@@ -349,13 +353,20 @@
 
   async #probe(): Promise<void> {
     const { store, nowMs } = this.#options;
-    this.#lastProbeMs = nowMs();
+    // No other probe starts before this one has ended.
+    this.#lastProbeMs = Infinity;
     try {
-      await store.probe();
+      await store.probe().catch((error) => {
+        if (!isUnanswered(error)) throw error;
+        // Its connection may be dead; the next call opens a new one.
+        return store.probe();
+      });
       this.recordResponse();
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
       this.recordFailure(error.message);
+    } finally {
+      this.#lastProbeMs = nowMs();
     }
   }
 
