End a request when its response cannot be passed on

Cause: the error of writeHead at the start of a streamed response passed the socket's handler and ended in that of uncaughtException, which only logs, while the attempt went on and wrote the next chunks.

Errors at the head, a chunk or the end of a response now end the request, as those in the pipeline do: the attempt is aborted, and the caller gets a 500 or a closed connection.

--- a/src/node/entry/attempt_starter.ts
+++ b/src/node/entry/attempt_starter.ts
@@ -42,6 +42,12 @@
   readonly closesConnection: (exchange: HttpExchange) => boolean;
   /** Passes an event to the request pipeline. */
   readonly dispatch: (event: RequestEvent) => void;
+  /** Ends a request after an unexpected error in the named work. */
+  readonly failRequest: (
+    requestId: number,
+    work: string,
+    error: unknown,
+  ) => void;
 }
 
 /** What differs between attempts on targets and on other hosts. */
@@ -160,6 +166,15 @@
       req.headers.traceparent,
     );
     span.setAttribute("target", options.span.target);
+    /** Runs a part of the response's way; an error ends the request. */
+    const protect = <T>(work: string, action: () => T): T | undefined => {
+      try {
+        return action();
+      } catch (error) {
+        this.#options.failRequest(id, work, error);
+        return undefined;
+      }
+    };
     const attempt = new Attempt({
       address,
       pool,
@@ -186,27 +201,30 @@
       listener: {
         onStatement: (statement) =>
           dispatch({ type: "target_stated", requestId: id, statement }),
-        onStreamStarted: (head) => {
-          dispatch({ type: "response_started", requestId: id });
-          startStreamedResponse(exchange.res, head, {
-            closesConnection: closesConnection(exchange),
-          });
-        },
-        onStreamData: (chunk) => exchange.res.write(chunk),
-        onEnded: (result) => {
-          span.end(result.end.outcome);
-          onEnded(result, nowMs() - sentMs);
-          exchange.result = result;
-          exchange.attempt = undefined;
-          dispatch({
-            type: "attempt_ended",
-            requestId: id,
-            end: result.end,
-            mayHaveReachedTarget: result.mayHaveReachedTarget,
-            canResend: body.canResend,
-            responseBytes: result.receivedBytes,
-          });
-        },
+        onStreamStarted: (head) =>
+          protect("response_started", () => {
+            dispatch({ type: "response_started", requestId: id });
+            startStreamedResponse(exchange.res, head, {
+              closesConnection: closesConnection(exchange),
+            });
+          }),
+        onStreamData: (chunk) =>
+          protect("response_data", () => exchange.res.write(chunk)) ?? true,
+        onEnded: (result) =>
+          protect("attempt_ended", () => {
+            span.end(result.end.outcome);
+            onEnded(result, nowMs() - sentMs);
+            exchange.result = result;
+            exchange.attempt = undefined;
+            dispatch({
+              type: "attempt_ended",
+              requestId: id,
+              end: result.end,
+              mayHaveReachedTarget: result.mayHaveReachedTarget,
+              canResend: body.canResend,
+              responseBytes: result.receivedBytes,
+            });
+          }),
       },
     });
     exchange.attempt = attempt;
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -87,6 +87,10 @@
       ...options,
       closesConnection: (exchange) => this.#closesConnection(exchange),
       dispatch: (event) => this.dispatch(event),
+      failRequest: (requestId, work, error) => {
+        logUnexpectedError(options.log, work, error);
+        this.#fail(requestId);
+      },
     });
   }
 
