--- a/src/testing/processes.ts
+++ b/src/testing/processes.ts
@@ -8,7 +8,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { createServer, type Socket } from "node:net";
 import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { join, resolve } from "node:path";
 import { fileURLToPath } from "node:url";
 import { stringify } from "smol-toml";
 
@@ -36,13 +36,13 @@
   stop(signal?: NodeJS.Signals): Promise<number | null>;
 }
 
-/** Starts a compiled program; `path` is relative to the folder `dist`. */
+/** Starts a compiled program; `path` is absolute or relative to `dist`. */
 export function startProgram(
   path: string,
   args: readonly string[],
   options: { env?: Record<string, string> } = {},
 ): RunningProgram {
-  const child = spawn(process.execPath, [join(DIST_FOLDER, path), ...args], {
+  const child = spawn(process.execPath, [resolve(DIST_FOLDER, path), ...args], {
     stdio: ["ignore", "pipe", "pipe"],
     env: { ...process.env, ...options.env },
   });
