Release the target of a request that fails unexpectedly

The reducer has an event for it now, which ends the attempt as cancelled.

Test that failed before (it did not compile without the event): pipeline_test "a request that fails unexpectedly releases its target".

--- a/src/core/request/pipeline.ts
+++ b/src/core/request/pipeline.ts
@@ -51,7 +51,8 @@
       transition.handleAttemptEnd(event);
       break;
     case "caller_disconnected":
-      transition.handleCallerDisconnect(event.requestId);
+    case "request_failed":
+      transition.cancelRequest(event.requestId);
       break;
     case "connection_refused":
       transition.handleConnectionRefused(event.targetId);
--- a/src/core/request/pipeline_test.ts
+++ b/src/core/request/pipeline_test.ts
@@ -537,3 +537,16 @@
     "no attempt left": killHost({ maxAttempts: 1 }),
   });
 });
+
+// Guards against a target that counts an attempt as in flight for good, and gets
+// fewer requests, after an unexpected error has ended the request.
+test("a request that fails unexpectedly releases its target", () => {
+  const { state, targetTable, recordLog, apply, arrive } = createTestPipeline();
+  arrive();
+  assert.equal(targetTable.get("target-1")?.load.inFlightAttempts, 1);
+  const effects = apply({ type: "request_failed", requestId: 1 }, 100);
+  assert.deepEqual(effects, [{ type: "abort", requestId: 1 }]);
+  assert.deepEqual(recordLog, ["target-1 cancelled"]);
+  assert.equal(targetTable.get("target-1")?.load.inFlightAttempts, 0);
+  assert.equal(state.requests.size, 0);
+});
--- a/src/core/request/transition.ts
+++ b/src/core/request/transition.ts
@@ -169,7 +169,8 @@
     }
   }
 
-  handleCallerDisconnect(requestId: number): void {
+  /** Ends a request that needs no response from the reducer. */
+  cancelRequest(requestId: number): void {
     const request = this.#state.requests.get(requestId);
     if (request === undefined) return;
     this.#abortAttempt(request, "cancelled");
--- a/src/core/request/types.ts
+++ b/src/core/request/types.ts
@@ -75,6 +75,8 @@
     readonly responseBytes: number;
   }
   | { readonly type: "caller_disconnected"; readonly requestId: number }
+  /** An unexpected error has ended the request outside the reducer. */
+  | { readonly type: "request_failed"; readonly requestId: number }
   /** The connection check of a target failed. */
   | { readonly type: "connection_refused"; readonly targetId: string }
   /** A peer reports a target that crashed with this fingerprint in flight. */
--- a/src/node/entry/attempt_starter.ts
+++ b/src/node/entry/attempt_starter.ts
@@ -166,7 +166,7 @@
       req.headers.traceparent,
     );
     span.setAttribute("target", options.span.target);
-    /** Runs a part of the response's way; an error ends the request. */
+    /** Runs a step of passing on the response; an error ends the request. */
     const protect = <T>(work: string, action: () => T): T | undefined => {
       try {
         return action();
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -189,12 +189,19 @@
 
   /** Ends a request whose handling failed. It may have run. */
   #fail(requestId: number): void {
-    this.#state.requests.delete(requestId);
+    const { metrics, dependencies, headerNames, log, nowMs } = this.#options;
     const exchange = this.#exchanges.get(requestId);
+    try {
+      const event = { type: "request_failed", requestId } as const;
+      const effects = reduceRequest(this.#state, event, nowMs(), dependencies);
+      for (const effect of effects) this.#applyEffect(effect);
+    } catch (error) {
+      logUnexpectedError(log, "request_failed", error);
+      this.#state.requests.delete(requestId);
+    }
     if (exchange === undefined) return;
     exchange.attempt?.abort();
     exchange.attempt = undefined;
-    const { metrics, dependencies, headerNames, log } = this.#options;
     exchange.end = "internal";
     metrics.refusals.inc({ kind: "internal" });
     const { res, callerRequestId } = exchange;
