--- a/src/node/entry/store_replica.ts
+++ b/src/node/entry/store_replica.ts
@@ -34,6 +34,7 @@
 import type { PushedDelta } from "../peer/report_codec.ts";
 import { type FollowMode, KindFollower } from "../store/kind_follower.ts";
 import { type ObjectStore, StoreError } from "../store/object_store.ts";
+import { probeStore } from "../store/probe_store.ts";
 import type { Log } from "../telemetry/log.ts";
 import {
   findWatchWaitMs,
@@ -77,10 +78,6 @@
   readonly broadcastDelta: (pushedDelta: PushedDelta) => void;
 }
 
-function isUnanswered(error: unknown): boolean {
-  return error instanceof StoreError && error.kind === "unanswered";
-}
-
 /** Replicas of all kinds of objects, and the availability of the store. */
 export class StoreReplica {
   readonly #options: StoreReplicaOptions;
@@ -356,11 +353,7 @@
     // No other probe starts before this one has ended.
     this.#lastProbeMs = Infinity;
     try {
-      await store.probe().catch((error) => {
-        if (!isUnanswered(error)) throw error;
-        // Its connection may be dead; the next call opens a new one.
-        return store.probe();
-      });
+      await probeStore(store);
       this.recordResponse();
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
