Log the end of a process with its cause, and measure the process

Operators could not tell from the log of a host why it ended: a failed start wrote one line to standard error only, a signal left no line, and a process that was killed looked like one whose log was lost. Requests that a host cut off had no line with their id.

- `starting` has the process id, the version of Node.js and the platform.
- `response_cut_off` has the id of a request whose response the host did not complete, on a connection that it closed or as the process ended; `unanswered_closes_total` counts these and `caller_left`.
- Metrics for warnings by event (`unexpected_error` exists from the start), omitted log lines, resident memory, used heap and open descriptors.
The last three are read when metrics are requested.

The log and the metrics are created by the main program, so that they exist before the host starts. Nothing else changes its behaviour.

--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -36,8 +36,7 @@
 import type { ObjectStore } from "../store/object_store.ts";
 import { ConnectionPool } from "../target/connection_pool.ts";
 import { createGuard, logUnexpectedError } from "../telemetry/guard.ts";
-import { createLog } from "../telemetry/log.ts";
-import { createMetrics } from "../telemetry/metrics.ts";
+import type { Telemetry } from "../telemetry/telemetry.ts";
 import { loadTracing } from "../telemetry/tracing.ts";
 import { measureDistances } from "./distance_measurement.ts";
 import { FleetReports } from "./fleet_reports.ts";
@@ -63,6 +62,7 @@
 /** Options of an entry host, which the platform provides. */
 export interface EntryHostOptions {
   readonly settings: SettingsSource<EntrySettings>;
+  readonly telemetry: Telemetry;
   readonly headerNames: HeaderNames;
   readonly codec: ObjectCodec;
   /**
@@ -121,11 +121,16 @@
     callerAddress: addresses.callers,
     peerAddress: addresses.peers,
   };
-  const log = createLog({ host: host.id, zone: host.availabilityZone });
+  const { log, metrics } = options.telemetry;
+  log.addFields({ host: host.id, zone: host.availabilityZone });
   const guard = createGuard(log);
-  const metrics = createMetrics();
   const tracing = await loadTracing(settings.telemetry.traceFile);
-  log.event("starting", { settings });
+  log.event("starting", {
+    processId: process.pid,
+    nodeVersion: process.version,
+    platform: `${process.platform}-${process.arch}`,
+    settings,
+  });
 
   const store = options.createStore({
     onCall: (call, end) => metrics.storeCalls.inc({ call, end }),
@@ -458,9 +463,8 @@
     relayPool.close();
     store.close();
     await tracing.close();
+    handler.reportUnanswered();
     log.event("stopped", { inProgress: handler.requestsInProgress });
-    log.close();
-    log.flush();
   }
 
   return {
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -105,6 +105,13 @@
     return new Promise((resolve) => this.#idleCallbacks.push(resolve));
   }
 
+  /** Logs and counts the requests in progress that end with the process. */
+  reportUnanswered(): void {
+    for (const exchange of this.#exchanges.values()) {
+      this.#reportUnanswered(exchange, "exit");
+    }
+  }
+
   /**
    * Handles a request.
    *
@@ -205,7 +212,10 @@
     exchange.end = "internal";
     metrics.refusals.inc({ kind: "internal" });
     const { res, callerRequestId } = exchange;
-    if (res.headersSent) return void res.destroy();
+    if (res.headersSent) {
+      exchange.end = "broken";
+      return void res.destroy();
+    }
     exchange.body?.dispose();
     try {
       writeRefusal(res, createRefusal("internal", dependencies.random), {
@@ -330,19 +340,15 @@
   }
 
   #handleClose(exchange: HttpExchange): void {
-    const { id, res, callerRequestId, startedMs, routeId, req } = exchange;
-    const { nowMs, metrics, log } = this.#options;
+    const { id, res, startedMs, routeId } = exchange;
+    const { nowMs, metrics } = this.#options;
     if (!this.#exchanges.delete(id)) return;
     const tookMs = nowMs() - startedMs;
-    if (!res.writableFinished && exchange.end !== "broken") {
+    if (exchange.end === "broken") this.#reportUnanswered(exchange, "host");
+    else if (!res.writableFinished) {
       exchange.end = "caller_left";
       this.dispatch({ type: "caller_disconnected", requestId: id });
-      log.request("caller_left", {
-        request: callerRequestId,
-        route: routeId,
-        path: req.url,
-        tookMs: Math.round(tookMs),
-      }, true);
+      this.#reportUnanswered(exchange, "caller");
     }
     exchange.attempt?.abort();
     exchange.body?.dispose();
@@ -353,4 +359,27 @@
     this.#tickTimer = undefined;
     for (const resolve of this.#idleCallbacks.splice(0)) resolve();
   }
+
+  /** Logs and counts a request whose response is not complete. */
+  #reportUnanswered(
+    { callerRequestId, routeId, req, res, startedMs }: HttpExchange,
+    closedBy: "caller" | "host" | "exit",
+  ): void {
+    const { nowMs, metrics, log } = this.#options;
+    metrics.unansweredCloses.inc({ closed_by: closedBy });
+    const fields = {
+      request: callerRequestId,
+      route: routeId,
+      path: req.url,
+      tookMs: Math.round(nowMs() - startedMs),
+    };
+    if (closedBy === "caller") log.request("caller_left", fields, true);
+    else {
+      log.request("response_cut_off", {
+        ...fields,
+        closedBy,
+        hasHead: res.headersSent,
+      }, true);
+    }
+  }
 }
--- a/src/node/exit_status.ts
+++ b/src/node/exit_status.ts
@@ -35,10 +35,12 @@
  * with its stack.
  *
  * @param name Name of the program, which starts the line.
+ * @param onFailure Called before the process ends with an error.
  */
 export async function runProgram(
   name: string,
   main: () => Promise<void>,
+  onFailure?: (exitName: ExitName, reason: string) => void,
 ): Promise<void> {
   try {
     await main();
@@ -48,6 +50,7 @@
       ? error.message
       : String(error instanceof Error ? error.stack : error);
     process.stderr.write(`${name}: ${message}\n`);
+    onFailure?.(exitName, message);
     process.exit(EXIT_STATUS[exitName]);
   }
 }
--- a/src/node/telemetry/log.ts
+++ b/src/node/telemetry/log.ts
@@ -33,18 +33,28 @@
    * reserved for failures.
    */
   request(name: string, fields: LogFields, isFailure: boolean): void;
+}
+
+/** Log of a process, with the operations of the process's main program. */
+export interface ProcessLog extends Log {
+  /** Adds fields to all later lines. */
+  addFields(fields: LogFields): void;
   /** Writes buffered lines synchronously. */
   flush(): void;
   /** Stops the periodic flush. */
   close(): void;
 }
 
-/**
- * Creates the log of a process.
- *
- * @param base Fields of every line.
- */
-export function createLog(base: LogFields): Log {
+/** Options of `createLog`. */
+export interface LogOptions {
+  /** Called for each line that is not written. */
+  readonly onOmitted: () => void;
+  /** Called with the name of each warning. */
+  readonly onWarning: (name: string) => void;
+}
+
+/** Creates the log of a process. */
+export function createLog({ onOmitted, onWarning }: LogOptions): ProcessLog {
   const destination = pino.destination({
     fd: 1,
     sync: false,
@@ -52,9 +62,13 @@
     maxLength: MAX_BUFFERED_BYTES,
   });
   let omittedLines = 0;
-  destination.on("drop", () => omittedLines += 1);
+  const omit = () => {
+    omittedLines += 1;
+    onOmitted();
+  };
+  destination.on("drop", omit);
   const logger = pino({
-    base,
+    base: {},
     timestamp: pino.stdTimeFunctions.epochTime,
     formatters: { level: (label) => ({ level: label }) },
   }, destination);
@@ -63,9 +77,13 @@
     capacity: REQUEST_LINES_BURST,
   }, monotonicMs());
   bucket.tokens = REQUEST_LINES_BURST;
+  const warn = (name: string, fields: LogFields = {}) => {
+    onWarning(name);
+    logger.warn({ event: name, ...fields });
+  };
   const timer = setInterval(() => {
     if (omittedLines > 0) {
-      logger.warn({ event: "log_lines_omitted", count: omittedLines });
+      warn("log_lines_omitted", { count: omittedLines });
       omittedLines = 0;
     }
     destination.flush();
@@ -73,7 +91,7 @@
   timer.unref();
   return {
     event: (name, fields = {}) => logger.info({ event: name, ...fields }),
-    warn: (name, fields = {}) => logger.warn({ event: name, ...fields }),
+    warn,
     request(name, fields, isFailure) {
       const requiredTokens = isFailure ? 1 : REQUEST_LINES_BURST / 2;
       const nowMs = monotonicMs();
@@ -81,12 +99,13 @@
         bucket.tokens < requiredTokens &&
         !hasTokensAfterRefill(nowMs, requiredTokens)
       ) {
-        omittedLines += 1;
+        omit();
         return;
       }
       takeToken(bucket, nowMs);
       logger.info({ event: name, ...fields });
     },
+    addFields: (fields) => logger.setBindings(fields),
     flush: () => destination.flushSync(),
     close: () => clearInterval(timer),
   };
--- a/src/node/telemetry/metrics.ts
+++ b/src/node/telemetry/metrics.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { existsSync, readdirSync } from "node:fs";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** Bucket bounds of the latency histograms, in seconds. */
@@ -25,6 +26,9 @@
   8,
 ];
 
+/** Folder with an entry for each open descriptor; only Linux has it. */
+const DESCRIPTOR_FOLDER = "/proc/self/fd";
+
 /** All metrics of an entry host. */
 export type Metrics = ReturnType<typeof createMetrics>;
 
@@ -41,6 +45,16 @@
     });
   const gauge = (name: string, help: string, labelNames: string[] = []) =>
     new Gauge({ name: `cranberryhoist_${name}`, help, labelNames, registers });
+  /** A gauge that is read only when metrics are requested. */
+  const readGauge = (name: string, help: string, read: () => number) =>
+    new Gauge({
+      name: `cranberryhoist_${name}`,
+      help,
+      registers,
+      collect() {
+        this.set(read());
+      },
+    });
   const histogram = (name: string, help: string, labelNames: string[] = []) =>
     new Histogram({
       name: `cranberryhoist_${name}`,
@@ -113,5 +127,35 @@
       "store_age_seconds",
       "Time since the store last responded to a watching host",
     ),
+    unansweredCloses: counter(
+      "unanswered_closes_total",
+      "Requests whose connection was closed before the response was complete",
+      ["closed_by"],
+    ),
+    warnings: counter("warnings_total", "Warnings in the log by event", [
+      "event",
+    ]),
+    omittedLogLines: counter(
+      "omitted_log_lines_total",
+      "Log lines that were not written",
+    ),
+    residentMemory: readGauge(
+      "resident_memory_bytes",
+      "Resident memory of the process",
+      () => process.memoryUsage.rss(),
+    ),
+    heapUsed: readGauge(
+      "heap_used_bytes",
+      "Used part of the JavaScript heap",
+      () => process.memoryUsage().heapUsed,
+    ),
+    openDescriptors: readGauge(
+      "open_descriptors",
+      "Open descriptors of the process; 0 where the system has no list",
+      () =>
+        existsSync(DESCRIPTOR_FOLDER)
+          ? readdirSync(DESCRIPTOR_FOLDER).length
+          : 0,
+    ),
   };
 }
--- a/src/testing/recording_log.ts
+++ b/src/testing/recording_log.ts
@@ -12,8 +12,6 @@
     event() {},
     warn: (name) => warnings.push(name),
     request() {},
-    flush() {},
-    close() {},
   };
   return { log, warnings };
 }
