Repeat unanswered calls to the store on a new connection

Cause: a call that is sent on a kept connection which has gone silent gets no answer, and it counted as a failure of the store. Only watches that wait and probes were asked again on a new connection first; lists, catch-up watches, registrations, removals and outcomes of releases were not.

The store client now sends each of these calls once more on a new connection if a reused one breaks or gives no answer within half of the call's timeout. Both share the timeout, so a silent store is noticed as early as before. A call on a new connection is not repeated, and the repetition of the probe in probe_store is replaced by this one, so a failing store gets no more calls than one for each kept connection found dead. A write can run twice: put and remove give the same result each time, and putStatus has the revision as its precondition, where a conflict after a repetition succeeds if the object holds the written status.

--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -75,6 +75,7 @@
       onCall: (call: string, end: string) => void;
       onEpoch: (epoch: number) => void;
       onUnreadable: (kind: ObjectKind, reason: string) => void;
+      onRepeat: (reason: string) => void;
     },
   ) => ObjectStore;
   /**
@@ -137,6 +138,7 @@
     onEpoch: (epoch) => replica.recordEpoch(epoch),
     onUnreadable: (kind, reason) =>
       log.warn("object_unreadable", { kind, reason }),
+    onRepeat: (reason) => log.event("store_call_repeated", { reason }),
   });
   const membership = new Membership(self);
   const targets = new TargetTable({ returnSpread: random });
--- a/src/node/entry/store_replica.ts
+++ b/src/node/entry/store_replica.ts
@@ -34,7 +34,6 @@
 import type { PushedDelta } from "../peer/report_codec.ts";
 import { type FollowMode, KindFollower } from "../store/kind_follower.ts";
 import { type ObjectStore, StoreError } from "../store/object_store.ts";
-import { probeStore } from "../store/probe_store.ts";
 import type { Log } from "../telemetry/log.ts";
 import {
   findWatchWaitMs,
@@ -353,7 +352,7 @@
     // No other probe starts before this one has ended.
     this.#lastProbeMs = Infinity;
     try {
-      await probeStore(store);
+      await store.probe();
       this.recordResponse();
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
--- a/src/node/store/object_store.ts
+++ b/src/node/store/object_store.ts
@@ -11,7 +11,10 @@
 
 /** Reason why a call failed. */
 export type StoreErrorKind =
-  /** The store refused the call without executing it. */
+  /**
+   * The store refused the call without executing it. A write that was sent
+   * twice may have been executed the first time.
+   */
   | "refused"
   /** No response arrived; a write may have been executed, or may be later. */
   | "unanswered"
@@ -32,7 +35,16 @@
   }
 }
 
-/** Client of the store. A call that fails rejects with a `StoreError`. */
+/**
+ * Client of the store. A call that fails rejects with a `StoreError`.
+ *
+ * No answer on a connection that was used before tells nothing about the store:
+ * such a call is sent again on a new connection within its timeout, and only if
+ * that gets no answer either does the call count as unanswered. So a write may
+ * be executed twice, and the first one late. All writes bear that: `put` and
+ * `remove` have the same result each time, and `putStatus` has a revision as its
+ * precondition.
+ */
 export interface ObjectStore {
   /**
    * Lists all objects of a kind. The list holds all changes up to its position,
@@ -59,7 +71,12 @@
   ): Promise<StoreChanges>;
   /** Creates an object or replaces its specification. */
   put(kind: ObjectKind, name: string, specification: unknown): Promise<void>;
-  /** Replaces the status of an object if it is still at a revision. */
+  /**
+   * Replaces the status of an object if it is still at a revision. When the call
+   * was sent twice and the object has another revision by then, it succeeds if
+   * the object has the status that was to be written, as it does if the first
+   * write was executed.
+   */
   putStatus(
     kind: ObjectKind,
     name: string,
