--- a/src/node/store/object_store.ts
+++ b/src/node/store/object_store.ts
@@ -18,7 +18,10 @@
   | "refused"
   /** No response arrived; a write may have been executed, or may be later. */
   | "unanswered"
-  /** The store has compacted the history that a watch starts from. */
+  /**
+   * The changes that a watch asks for cannot be had: the store has compacted
+   * their history, or they are more than a client keeps.
+   */
   | "compacted"
   /** The object's revision differs from the one in the call. */
   | "conflict"
