End a host whose output is not read or cannot be written

Operators saw a host that stayed after SIGTERM until it was killed, when nobody read its standard output any more, or when the output was a file on a full disk.

Cause: the last lines were written with `flushSync` of sonic-boom. On a full pipe it blocks; on any error but EAGAIN, such as ENOSPC, it sleeps and repeats the write for ever. Besides, an asynchronous write by `fs` to a pipe that nobody reads occupies a thread of the pool, and `process.exit` waits for that thread (Node.js 20.19: `fs.write` of 1 MB to an unread pipe, then `process.exit`, was still there after 6 s; with a `Socket` it ended at once). An error of the destination had no listener either.

`LineWriter` replaces the destination: pino still formats the lines. It writes a pipe or socket through the event loop, a file through the thread pool, one batch at a time, and counts lines that fail. The last lines get 250 ms. Errors of standard error no longer end a program: a full disk or a closed pipe there made Node.js end with status 1.

--- a/src/node/exit_status.ts
+++ b/src/node/exit_status.ts
@@ -34,14 +34,18 @@
  * with its exit status; any error but `ExitError` is `internal` and is written
  * with its stack.
  *
+ * The line is lost if nobody reads standard error; the process ends all the
+ * same.
+ *
  * @param name Name of the program, which starts the line.
  * @param onFailure Called before the process ends with an error.
  */
 export async function runProgram(
   name: string,
   main: () => Promise<void>,
-  onFailure?: (exitName: ExitName, reason: string) => void,
+  onFailure?: (exitName: ExitName, reason: string) => Promise<void>,
 ): Promise<void> {
+  process.stderr.on("error", () => {});
   try {
     await main();
   } catch (error) {
@@ -50,7 +54,7 @@
       ? error.message
       : String(error instanceof Error ? error.stack : error);
     process.stderr.write(`${name}: ${message}\n`);
-    onFailure?.(exitName, message);
+    await onFailure?.(exitName, message);
     process.exit(EXIT_STATUS[exitName]);
   }
 }
--- a/src/node/telemetry/log.ts
+++ b/src/node/telemetry/log.ts
@@ -1,23 +1,27 @@
 /**
  * Structured log on standard output, one JSON object a line.
  *
- * Writing never blocks. Lines that exceed the rate limit or the buffer are
- * omitted, and their number is logged each second.
+ * Writing never blocks, the last line included. Lines that exceed the rate
+ * limit or the buffer, or that cannot be written, are omitted; their number is
+ * logged each second.
  *
  * @module
  */
 import pino from "pino";
 import { createBucket, takeToken } from "../../core/limits/token_bucket.ts";
 import { monotonicMs } from "../clock.ts";
+import { LineWriter, openDescriptor, type WriteBytes } from "./line_writer.ts";
 
 /** Rate limit and burst of lines about single requests. */
 const REQUEST_LINES_PER_S = 120;
 const REQUEST_LINES_BURST = 240;
-/** Buffered bytes above which lines are omitted. */
-const MAX_BUFFERED_BYTES = 1_048_576;
-/** Minimum of buffered bytes for a write between two flushes. */
-const BATCH_BYTES = 8_192;
 const FLUSH_INTERVAL_MS = 1_000;
+const STANDARD_OUTPUT = 1;
+/**
+ * Time for the last lines of a process. It is part of the time between the
+ * exit and the end of the grace period, at which the process is killed.
+ */
+const LAST_LINES_TIMEOUT_MS = 250;
 
 /** Fields of a log line. */
 export type LogFields = Record<string, unknown>;
@@ -39,39 +43,41 @@
 export interface ProcessLog extends Log {
   /** Adds fields to all later lines. */
   addFields(fields: LogFields): void;
-  /** Writes buffered lines synchronously. */
-  flush(): void;
-  /** Stops the periodic flush. */
-  close(): void;
+  /**
+   * Writes the buffered lines for a limited time.
+   *
+   * @returns The number of lines that were not written in time.
+   */
+  close(): Promise<number>;
 }
 
 /** Options of `createLog`. */
 export interface LogOptions {
-  /** Called for each line that is not written. */
-  readonly onOmitted: () => void;
+  /** Called with the number of lines that are not written. */
+  readonly onOmitted: (lineCount: number) => void;
   /** Called with the name of each warning. */
   readonly onWarning: (name: string) => void;
 }
 
 /** Creates the log of a process. */
 export function createLog({ onOmitted, onWarning }: LogOptions): ProcessLog {
-  const destination = pino.destination({
-    fd: 1,
-    sync: false,
-    minLength: BATCH_BYTES,
-    maxLength: MAX_BUFFERED_BYTES,
-  });
   let omittedLines = 0;
-  const omit = () => {
-    omittedLines += 1;
-    onOmitted();
+  const omit = (lineCount: number) => {
+    omittedLines += lineCount;
+    onOmitted(lineCount);
   };
-  destination.on("drop", omit);
+  let writeBytes: WriteBytes | undefined;
+  // Opened with the first line, as other output of a program, such as its help,
+  // uses the descriptor, too.
+  const writer = new LineWriter((bytes, onResult) => {
+    writeBytes ??= openDescriptor(STANDARD_OUTPUT);
+    writeBytes(bytes, onResult);
+  }, omit);
   const logger = pino({
     base: {},
     timestamp: pino.stdTimeFunctions.epochTime,
     formatters: { level: (label) => ({ level: label }) },
-  }, destination);
+  }, writer);
   const bucket = createBucket({
     tokensPerS: REQUEST_LINES_PER_S,
     capacity: REQUEST_LINES_BURST,
@@ -83,10 +89,11 @@
   };
   const timer = setInterval(() => {
     if (omittedLines > 0) {
-      warn("log_lines_omitted", { count: omittedLines });
+      const count = omittedLines;
       omittedLines = 0;
+      warn("log_lines_omitted", { count });
     }
-    destination.flush();
+    writer.flush();
   }, FLUSH_INTERVAL_MS);
   timer.unref();
   return {
@@ -99,15 +106,17 @@
         bucket.tokens < requiredTokens &&
         !hasTokensAfterRefill(nowMs, requiredTokens)
       ) {
-        omit();
+        omit(1);
         return;
       }
       takeToken(bucket, nowMs);
       logger.info({ event: name, ...fields });
     },
     addFields: (fields) => logger.setBindings(fields),
-    flush: () => destination.flushSync(),
-    close: () => clearInterval(timer),
+    close() {
+      clearInterval(timer);
+      return writer.drain(LAST_LINES_TIMEOUT_MS);
+    },
   };
 
   function hasTokensAfterRefill(
--- a/src/node/telemetry/telemetry.ts
+++ b/src/node/telemetry/telemetry.ts
@@ -18,7 +18,7 @@
   // The series exists before the first error, so that alerts see its increase.
   metrics.warnings.inc({ event: "unexpected_error" }, 0);
   const log = createLog({
-    onOmitted: () => metrics.omittedLogLines.inc(),
+    onOmitted: (lineCount) => metrics.omittedLogLines.inc(lineCount),
     onWarning: (event) => metrics.warnings.inc({ event }),
   });
   return { log, metrics };
