Handle signals from the first moment of an entry host

Hosts that were starting ended by themselves when their settings changed: the platform announces a change by SIGHUP, and the default action of SIGHUP ends a process. The handlers were installed after `startEntryHost` had returned, and all modules of the program are loaded before its first line runs.

The main program now installs the handlers and loads the rest afterwards. Signals that arrive meanwhile are kept: SIGHUP needs nothing, as the settings are read later; SIGTERM and SIGINT end the process with status 0 before the host starts. The handler of unexpected errors is installed before the start, too.

--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -35,7 +35,7 @@
 import type { ObjectCodec } from "../store/object_codec.ts";
 import type { ObjectStore } from "../store/object_store.ts";
 import { ConnectionPool } from "../target/connection_pool.ts";
-import { createGuard, logUnexpectedError } from "../telemetry/guard.ts";
+import { createGuard } from "../telemetry/guard.ts";
 import type { Telemetry } from "../telemetry/telemetry.ts";
 import { loadTracing } from "../telemetry/tracing.ts";
 import { measureDistances } from "./distance_measurement.ts";
@@ -94,8 +94,6 @@
 export interface EntryHost {
   /** Reads the settings again if the file has changed. */
   reload(): void;
-  /** Logs an error that no part of the host has handled. */
-  reportUnexpectedError(error: unknown): void;
   /**
    * Stops gracefully: requests in progress may complete within the grace
    * period. Repeated calls return the same promise.
@@ -471,8 +469,6 @@
 
   return {
     reload,
-    reportUnexpectedError: (error) =>
-      logUnexpectedError(log, "event loop", error),
     stop: () => stopping ??= performStop(),
   };
 }
