Load the calls between hosts with the host, not on the first call

Callers saw: other hosts got no answer to any call from a host whose folder had been built again from other code since it started, until it restarted.

Cause: peer_calls was imported by the first call. The file has a hash in its name and is gone after such a build, and the server kept the rejected import. From dist the first call could also load a module of another build.

Evidence: build_test "a host answers calls of peers after a build of other code" failed with answer "[aborted] read ECONNRESET", expected "description" and passes with the old build script and this change.

The module is now part of the program, in dist and target alike, and nothing reads the folder when a call arrives. A host with seeds loaded it at its start already, if it had no document.

--- a/src/node/peer/peer_calls.ts
+++ b/src/node/peer/peer_calls.ts
@@ -1,6 +1,5 @@
 /**
- * Calls between hosts: client and server side with connect-es. Import it
- * dynamically, as `peer_service.ts` does, to load the library on demand.
+ * Calls between hosts: client and server side with connect-es.
  *
  * @module
  */
--- a/src/node/peer/peer_service.ts
+++ b/src/node/peer/peer_service.ts
@@ -1,13 +1,12 @@
 /**
- * Calls between hosts over connect-es. The library is loaded on the first call,
- * as most hosts never need it and memory is limited.
+ * Calls between hosts over connect-es. The library is loaded with the host: a
+ * file that is first read by a later call may be of another build by then.
  *
  * @module
  */
 import {
   createServer,
   type IncomingMessage,
-  type RequestListener,
   type Server,
   type ServerResponse,
 } from "node:http";
@@ -19,6 +18,7 @@
 } from "../../core/store/types.ts";
 import { FORWARDING_SERVER_OPTIONS } from "../front/caller_server.ts";
 import { RELAYED_ATTEMPTS_HEADER } from "../front/headers.ts";
+import { createPeerListener, fetchObjects } from "./peer_calls.ts";
 
 /** Handlers for the calls of other hosts. */
 export interface PeerHandlers {
@@ -41,17 +41,14 @@
  * Creates the server for calls of other hosts and for requests that they relay.
  */
 export function createPeerServer(handlers: PeerHandlers): Server {
-  let listener: Promise<RequestListener> | undefined;
+  const handleCall = createPeerListener(handlers);
   return createServer({ ...FORWARDING_SERVER_OPTIONS }, (req, res) => {
     const attempts = req.headers[RELAYED_ATTEMPTS_HEADER];
     if (attempts !== undefined) {
       const relayedAttempts = Math.max(1, Number(attempts) || 1);
       return handlers.handleRelayed(req, res, { relayedAttempts });
     }
-    listener ??= import("./peer_calls.ts").then(({ createPeerListener }) =>
-      createPeerListener(handlers)
-    );
-    listener.then((handle) => handle(req, res), () => res.destroy());
+    handleCall(req, res);
   });
 }
 
@@ -61,12 +58,11 @@
  * @param ownPositions A kind without an entry is fetched as a snapshot.
  * @throws {ConnectError} When the call fails or times out.
  */
-export async function fetchFromPeer(
+export function fetchFromPeer(
   peerAddress: string,
   ownPositions: KindPositions,
   timeoutMs: number,
 ): Promise<Map<ObjectKind, KindDelta>> {
-  const { fetchObjects } = await import("./peer_calls.ts");
   const positions = new Map(
     OBJECT_KINDS.map((kind) =>
       [kind, ownPositions.get(kind) ?? NO_POSITION] as const
