Put a finished bundle in place by one rename

Users saw: hosts that started while the same folder was built ended with MODULE_NOT_FOUND, and after a build that failed none could start.

Cause: the script removed the folder first and wrote into it afterwards, in several files, and a program that could not start counted as built.

Evidence: build_test failed with hosts start while the same folder is built: startStatuses [1, 0, 1, 1, 1, 1] a build that fails leaves the previous build in place: isUnchanged false, endsAtStart { isRefused false, startStatus 1 }

The bundle is one file. Other files in the folder stay, as hosts of earlier builds may still load them.

One file needs no rule for which folders may be removed.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,26 +1,43 @@
-// Bundles the entry host for the platform into one folder, so that it loads a
-// few files at startup instead of hundreds. Modules that are imported
-// dynamically become separate files.
+// Bundles the entry host for the platform into one file, so that it loads fast
+// and reads nothing from the folder after it was started. Modules that are
+// imported dynamically are in the file too and run when they are first needed.
+//
+// The file replaces the previous one by a rename after it was shown to start:
+// a host that starts meanwhile reads the one or the other, and a failed build
+// changes nothing. Other files of the folder may belong to running hosts of
+// earlier builds and stay.
 //
 // Usage: node scripts/bundle.mjs [FOLDER], by default `target`.
-import { rmSync } from "node:fs";
+import { execFileSync } from "node:child_process";
+import { renameSync } from "node:fs";
+import { join } from "node:path";
 import { build } from "esbuild";
+import { useWorkFolder } from "./work_folder.mjs";
+
+const PROGRAM = "cranberry_entry.js";
+const START_TIMEOUT_MS = 60_000;
 
 const folder = process.argv[2] ?? "target";
-rmSync(folder, { recursive: true, force: true });
-await build({
-  entryPoints: { cranberry_entry: "platform/main.ts" },
-  outdir: folder,
-  bundle: true,
-  minify: true,
-  splitting: true,
-  format: "esm",
-  platform: "node",
-  target: "node20",
-  legalComments: "none",
-  // CommonJS packages load Node.js modules with `require`.
-  banner: {
-    js: "import { createRequire } from 'node:module';" +
-      "const require = createRequire(import.meta.url);",
-  },
+await useWorkFolder(folder, async (workFolder) => {
+  const program = join(workFolder, PROGRAM);
+  await build({
+    entryPoints: ["platform/main.ts"],
+    outfile: program,
+    bundle: true,
+    minify: true,
+    format: "esm",
+    platform: "node",
+    target: "node20",
+    legalComments: "none",
+    // CommonJS packages load Node.js modules with `require`.
+    banner: {
+      js: "import { createRequire } from 'node:module';" +
+        "const require = createRequire(import.meta.url);",
+    },
+  });
+  execFileSync(process.execPath, [program, "--help"], {
+    stdio: ["ignore", "ignore", "inherit"],
+    timeout: START_TIMEOUT_MS,
+  });
+  renameSync(program, join(folder, PROGRAM));
 });
