Install beside the present packages, and only when they don't fit

Users saw: builds beside each other failed, and a build after a failed or partial install ended without a program, though node_modules was recent.

The script compares npm's record of the install with the lockfile, for the packages that the bundle needs, and looks for the bundler's binary of this machine. It installs into the build's own folder, with development packages, and renames the complete result into place. Builds need no lock, so none can be held by a build that was killed; the one that is later keeps what is there.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -7,11 +7,13 @@
 // changes nothing. Other files of the folder may belong to running hosts of
 // earlier builds and stay.
 //
+// The packages that it needs are installed first if they are not there.
+//
 // Usage: node scripts/bundle.mjs [FOLDER], by default `target`.
 import { execFileSync } from "node:child_process";
 import { renameSync } from "node:fs";
 import { join } from "node:path";
-import { build } from "esbuild";
+import { ensureInstalled } from "./install.mjs";
 import { useWorkFolder } from "./work_folder.mjs";
 
 const PROGRAM = "cranberry_entry.js";
@@ -19,6 +21,9 @@
 
 const folder = process.argv[2] ?? "target";
 await useWorkFolder(folder, async (workFolder) => {
+  ensureInstalled(process.cwd(), workFolder);
+  // The bundler can be loaded only when it is installed.
+  const { build } = await import("esbuild");
   const program = join(workFolder, PROGRAM);
   await build({
     entryPoints: ["platform/main.ts"],
