Wait for addresses in use at the start of an entry host

A host that started while its predecessor was stopping, or while an outgoing connection used one of its ports for a moment, ended at once with status 5. There was no second try, neither for TCP nor for UDP, where every error was called `addressInUse`.

`bindAddress` repeats the bind each 50 ms while the address is in use, for the grace period and 1 s: a predecessor that was told to stop is gone by then. After that the host exits with status 5 and the same line as before. The first failure of each address is logged as `address_in_use`.

The addresses are now taken one after the other, those of callers and lookups last, so that a host that waits isn't half open; the periodic work starts when all are held.

--- a/src/node/address.ts
+++ b/src/node/address.ts
@@ -3,9 +3,15 @@
  *
  * @module
  */
+import { once } from "node:events";
 import type { Server } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { monotonicMs } from "./clock.ts";
 import { ExitError } from "./exit_status.ts";
 
+/** Delay before another try to use an address. */
+const RETRY_DELAY_MS = 50;
+
 /** IP address and port. */
 export interface Address {
   readonly host: string;
@@ -22,10 +28,51 @@
   return { host, port: Number(address.slice(colon + 1)) };
 }
 
-/** Options of `listen`. */
-export interface ListenOptions {
-  /** Settings field of the address, for the error message. */
+/** Options for the use of an address. */
+export interface BindOptions {
+  /** Settings field of the address, for messages. */
   readonly field: string;
+  /** Time for which to wait while another program uses the address. */
+  readonly waitMs: number;
+  /** Called once if another program uses the address. */
+  readonly onWait: (reason: string) => void;
+}
+
+/**
+ * Binds to an address, and repeats it for a time while another program uses the
+ * address: a predecessor that is stopping, or an outgoing connection.
+ *
+ * @param bind Tries to bind once.
+ * @throws {ExitError} `addressInUse` when another program uses the address for
+ * longer, `settings` when the address cannot be used on this machine.
+ */
+export async function bindAddress(
+  address: string,
+  bind: (address: Address) => Promise<void>,
+  { field, waitMs, onWait }: BindOptions,
+): Promise<void> {
+  const parsedAddress = parseAddress(address);
+  const deadlineMs = monotonicMs() + waitMs;
+  for (let isFirst = true;; isFirst = false) {
+    try {
+      return await bind(parsedAddress);
+    } catch (error) {
+      const { code, message } = error as NodeJS.ErrnoException;
+      const isInUse = code === "EADDRINUSE";
+      if (!isInUse || monotonicMs() >= deadlineMs) {
+        throw new ExitError(
+          isInUse ? "addressInUse" : "settings",
+          `cannot listen on ${address} (${field}): ${message}`,
+        );
+      }
+      if (isFirst) onWait(message);
+      await sleep(RETRY_DELAY_MS);
+    }
+  }
+}
+
+/** Options of `listen`. */
+export interface ListenOptions extends BindOptions {
   /**
    * Called with errors after the server listens, such as too many open files
    * when it accepts a connection. The server keeps listening.
@@ -36,28 +83,17 @@
 /**
  * Starts to listen on an address.
  *
- * @throws {ExitError} `addressInUse` when another program listens there,
- * `settings` when the address cannot be used on this machine.
+ * @throws {ExitError} As `bindAddress`.
  */
-export function listen(
+export async function listen(
   server: Server,
   address: string,
-  { field, onError }: ListenOptions,
+  options: ListenOptions,
 ): Promise<void> {
-  const { host, port } = parseAddress(address);
-  return new Promise((resolve, reject) => {
-    const fail = (error: NodeJS.ErrnoException) =>
-      reject(
-        new ExitError(
-          error.code === "EADDRINUSE" ? "addressInUse" : "settings",
-          `cannot listen on ${address} (${field}): ${error.message}`,
-        ),
-      );
-    server.once("error", fail);
-    server.listen(port, host, () => {
-      server.off("error", fail);
-      server.on("error", onError);
-      resolve();
-    });
-  });
+  await bindAddress(address, async ({ host, port }) => {
+    const listening = once(server, "listening");
+    server.listen(port, host);
+    await listening;
+  }, options);
+  server.on("error", options.onError);
 }
--- a/src/node/address_test.ts
+++ b/src/node/address_test.ts
@@ -4,13 +4,15 @@
 import { listen } from "./address.ts";
 import { ExitError } from "./exit_status.ts";
 
+const BIND_OPTIONS = { field: "listen.a", waitMs: 0, onWait() {} };
+
 // Guards against an error of a running server, such as too many open files,
 // that ends the process because nothing listens for it.
 test("errors after the start of a server are passed on", async () => {
   const errors: string[] = [];
   const server = createServer();
   await listen(server, "127.0.0.1:0", {
-    field: "listen.a",
+    ...BIND_OPTIONS,
     onError: (error) => errors.push(error.message),
   });
   server.emit("error", new Error("too many open files"));
@@ -22,7 +24,7 @@
 // Guards against an exit status that blames another program for an address that
 // this machine does not have.
 test("the exit status tells why a server cannot listen", async () => {
-  const options = { field: "listen.a", onError() {} };
+  const options = { ...BIND_OPTIONS, onError() {} };
   const first = createServer();
   await listen(first, "127.0.0.1:0", options);
   const { port } = first.address() as { port: number };
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -56,6 +56,11 @@
 const MIN_PAUSE_MS = 700;
 /** Time between two checks of the settings file; a change sends no signal. */
 const RELOAD_INTERVAL_MS = 1_000;
+/**
+ * Time for which to wait for addresses in use, beyond the grace period. A
+ * predecessor that was told to stop is gone when its grace period ends.
+ */
+const ADDRESS_WAIT_MARGIN_MS = 1_000;
 /** Time limit for requests that arrive while the process exits. */
 const LAST_REQUESTS_TIMEOUT_MS = 100;
 
@@ -394,6 +399,25 @@
   }
 
   const reloadTimer = setInterval(reload, RELOAD_INTERVAL_MS);
+  const bindOptions = (name: keyof typeof addresses) => ({
+    field: `listen.${name}`,
+    waitMs: settings.bounds.graceMs + ADDRESS_WAIT_MARGIN_MS,
+    onWait: (reason: string) =>
+      log.warn("address_in_use", { address: addresses[name], name, reason }),
+  });
+  const listenOn = (server: Server, name: keyof typeof addresses) =>
+    listen(server, addresses[name], {
+      ...bindOptions(name),
+      onError: (error) =>
+        log.warn("server_failed", { server: name, reason: error.message }),
+    });
+  // In this order, nobody reaches a host that still waits for an address but
+  // other hosts, which learn that it starts. Callers and lookups come last.
+  await reportExchange.start(bindOptions("peers"));
+  await listenOn(peerServer, "peers");
+  await listenOn(readinessServer, "readiness");
+  await listenOn(callerServer, "callers");
+  await listenOn(lookupServer, "lookups");
   let lastTickMs = nowMs();
   const tickTimer = setInterval(() => {
     const atMs = nowMs();
@@ -418,19 +442,6 @@
     });
   }, TICK_INTERVAL_MS);
 
-  const listenOn = (server: Server, name: keyof typeof addresses) =>
-    listen(server, addresses[name], {
-      field: `listen.${name}`,
-      onError: (error) =>
-        log.warn("server_failed", { server: name, reason: error.message }),
-    });
-  await Promise.all([
-    listenOn(callerServer, "callers"),
-    listenOn(lookupServer, "lookups"),
-    listenOn(readinessServer, "readiness"),
-    listenOn(peerServer, "peers"),
-    reportExchange.start(),
-  ]);
   const stopFollowing = replica.start();
   registration.register();
   fetchFromSeeds({
--- a/src/node/peer/report_exchange.ts
+++ b/src/node/peer/report_exchange.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import { createSocket, type Socket } from "node:dgram";
+import { once } from "node:events";
 import {
   type Membership,
   supersedes,
@@ -13,8 +14,7 @@
 import type { HostReport } from "../../core/membership/report.ts";
 import type { HostAddress } from "../../core/membership/types.ts";
 import type { ZoneSummary } from "../../core/membership/zone_summary.ts";
-import { parseAddress } from "../address.ts";
-import { ExitError } from "../exit_status.ts";
+import { bindAddress, type BindOptions, parseAddress } from "../address.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { Metrics } from "../telemetry/metrics.ts";
 import {
@@ -86,22 +86,15 @@
   /**
    * Binds the socket and starts the periodic reports.
    *
-   * @throws {ExitError} `addressInUse`.
+   * @throws {ExitError} As `bindAddress`.
    */
-  async start(): Promise<void> {
+  async start(options: BindOptions): Promise<void> {
     const { address, log } = this.#options;
-    const { host, port } = parseAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.#socket.once("error", (error) =>
-        reject(
-          new ExitError(
-            "addressInUse",
-            `cannot listen on ${address} (listen.peers): ${error.message}`,
-          ),
-        ));
-      this.#socket.bind(port, host, resolve);
-    });
-    this.#socket.removeAllListeners("error");
+    await bindAddress(address, async ({ host, port }) => {
+      const listening = once(this.#socket, "listening");
+      this.#socket.bind(port, host);
+      await listening;
+    }, options);
     this.#socket.on(
       "error",
       (error) => log.warn("datagram_failed", { reason: error.message }),
--- a/src/node/peer/report_exchange_test.ts
+++ b/src/node/peer/report_exchange_test.ts
@@ -88,7 +88,7 @@
       (_bytes, { port: senderPort }) => resolve(senderPort),
     )
   );
-  await exchange.start();
+  await exchange.start({ field: "listen.a", waitMs: 0, onWait() {} });
   t.after(() => {
     exchange.close();
     receiver.close();
