Wait for settings that are being written, and read the file once

A host that started while its settings file was missing, empty or half written ended at once with status 3. A running host already kept its settings in this case.

The file was also read twice, once for its values and once for the text that later reads are compared with. A file that was replaced in between counted as unchanged for ever: on the code before, a source that had read 1 while 2 was written gave `1 { type: 'unchanged' }`. The text is now read once and parsed.

--- a/src/node/settings_source.ts
+++ b/src/node/settings_source.ts
@@ -4,6 +4,15 @@
  * @module
  */
 import { readFileSync } from "node:fs";
+import { setTimeout as sleep } from "node:timers/promises";
+import { monotonicMs } from "./clock.ts";
+import { ExitError } from "./exit_status.ts";
+
+/** Delay before the file is read again at the start. */
+const RETRY_DELAY_MS = 50;
+
+/** Parses and validates the text of a file; throws when it is not usable. */
+export type ParseSettings<T> = (text: string, path: string) => T;
 
 /** Result of a reload. */
 export type ReloadResult =
@@ -20,7 +29,7 @@
 /** Holds the current settings and reloads them on request. */
 export class SettingsSource<T> {
   readonly #path: string;
-  readonly #read: (path: string) => T;
+  readonly #parse: ParseSettings<T>;
   #text: string;
   #current: T;
   /** Reason of the last reload if it was rejected; "" otherwise. */
@@ -29,14 +38,41 @@
   /**
    * Reads the settings for the first time.
    *
-   * @param read Reads and validates a file; throws when it is not usable.
-   * @throws Whatever `read` throws.
+   * @throws {ExitError} `settings` if the file cannot be read.
+   * @throws Whatever `parse` throws.
    */
-  constructor(path: string, read: (path: string) => T) {
+  constructor(path: string, parse: ParseSettings<T>) {
     this.#path = path;
-    this.#read = read;
-    this.#current = read(path);
-    this.#text = readFileSync(path, "utf8");
+    this.#parse = parse;
+    this.#text = this.#readText();
+    this.#current = parse(this.#text, path);
+  }
+
+  /**
+   * Reads the settings for the first time, and again for a time while the file
+   * is not usable: it may be missing or incomplete while it is written.
+   *
+   * @throws As the constructor, after the time has passed.
+   */
+  static async open<T>(
+    path: string,
+    parse: ParseSettings<T>,
+    { waitMs, onWait }: {
+      readonly waitMs: number;
+      /** Called once if the file is not usable at first. */
+      readonly onWait: (reason: string) => void;
+    },
+  ): Promise<SettingsSource<T>> {
+    const deadlineMs = monotonicMs() + waitMs;
+    for (let isFirst = true;; isFirst = false) {
+      try {
+        return new SettingsSource(path, parse);
+      } catch (error) {
+        if (monotonicMs() >= deadlineMs) throw error;
+        if (isFirst) onWait((error as Error).message);
+        await sleep(RETRY_DELAY_MS);
+      }
+    }
   }
 
   /** The settings that were last read successfully. */
@@ -47,12 +83,12 @@
   /** Reads the file again if its text has changed. */
   reload(): ReloadResult {
     try {
-      const text = readFileSync(this.#path, "utf8");
+      const text = this.#readText();
       if (text === this.#text) {
         this.#rejectionReason = "";
         return { type: "unchanged" };
       }
-      this.#current = this.#read(this.#path);
+      this.#current = this.#parse(text, this.#path);
       this.#text = text;
       this.#rejectionReason = "";
       return { type: "changed" };
@@ -63,4 +99,13 @@
       return { type: "rejected", reason, isRepeated };
     }
   }
+
+  #readText(): string {
+    try {
+      return readFileSync(this.#path, "utf8");
+    } catch (error) {
+      const { message } = error as Error;
+      throw new ExitError("settings", `${this.#path}: ${message}`);
+    }
+  }
 }
--- a/src/node/settings_source_test.ts
+++ b/src/node/settings_source_test.ts
@@ -1,5 +1,4 @@
 import assert from "node:assert/strict";
-import { readFileSync } from "node:fs";
 import { after, test } from "node:test";
 import { createSettingsFolder } from "../testing/processes.ts";
 import { SettingsSource } from "./settings_source.ts";
@@ -7,8 +6,8 @@
 const folder = createSettingsFolder();
 after(() => folder.dispose());
 
-function readNumber(path: string): number {
-  const value = Number(readFileSync(path, "utf8"));
+function parseNumber(text: string): number {
+  const value = Number(text);
   if (Number.isNaN(value)) throw new Error("not a number");
   return value;
 }
@@ -17,7 +16,7 @@
 // so that operators take it for accepted.
 test("an invalid file is rejected until it is replaced", () => {
   const path = folder.writeText("n", "1");
-  const source = new SettingsSource(path, readNumber);
+  const source = new SettingsSource(path, parseNumber);
   assert.deepEqual(source.reload(), { type: "unchanged" });
   folder.writeText("n", "x");
   const rejected = { type: "rejected", reason: "not a number" };
@@ -30,3 +29,16 @@
   assert.deepEqual(source.reload(), { type: "changed" });
   assert.equal(source.current, 2);
 });
+
+// Guards against settings that stay outdated, as the file was replaced between
+// two reads of it and then counts as unchanged.
+test("a file that is replaced while it is read is read again", () => {
+  const path = folder.writeText("r", "1");
+  const source = new SettingsSource(path, (text) => {
+    folder.writeText("r", "2");
+    return parseNumber(text);
+  });
+  assert.equal(source.current, 1);
+  assert.deepEqual(source.reload(), { type: "changed" });
+  assert.equal(source.current, 2);
+});
