Bound the memory of all unfinished request bodies together

Callers saw: their requests ended without an answer when the host was ended for its memory.

Cause: each body is buffered up to 1 MiB until it is complete, and nothing bounded the sum over the connections. 400 callers that each send 990,000 of 1,000,000 bytes are enough.

Why it works: all bodies share 32 MiB. A body that doesn't fit is refused at once with 503 `host_full`, which states that the request did not run. The first 4 KiB of each body don't count, so that small requests are still served.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -87,6 +87,12 @@
     retryAfterMs: 300,
     message: "No target can respond in time. Retry after the delay.",
   },
+  host_full: {
+    status: 503,
+    ran: "no",
+    retryAfterMs: 300,
+    message: "This host is at its limit. Use another host.",
+  },
   no_target: {
     status: 503,
     ran: "no",
--- a/src/core/request/pipeline.ts
+++ b/src/core/request/pipeline.ts
@@ -39,6 +39,9 @@
     case "body_too_large":
       transition.handleBodyTooLarge(event.requestId);
       break;
+    case "body_memory_full":
+      transition.handleBodyMemoryFull(event.requestId);
+      break;
     case "target_stated":
       transition.handleStatement(event.requestId, event.statement);
       break;
--- a/src/core/request/transition.ts
+++ b/src/core/request/transition.ts
@@ -94,6 +94,15 @@
     });
   }
 
+  handleBodyMemoryFull(requestId: number): void {
+    const request = this.#state.requests.get(requestId);
+    if (request === undefined) return;
+    this.#endWithRefusal(request, {
+      kind: "host_full",
+      reason: "the memory for request bodies is used up",
+    });
+  }
+
   handleStatement(requestId: number, statement: AvailabilityStatement): void {
     const attempt = this.#state.requests.get(requestId)?.currentAttempt;
     if (attempt === undefined) return;
--- a/src/core/request/types.ts
+++ b/src/core/request/types.ts
@@ -53,6 +53,8 @@
     readonly contentHash: string;
   }
   | { readonly type: "body_too_large"; readonly requestId: number }
+  /** The bodies of all requests take up the memory that they may. */
+  | { readonly type: "body_memory_full"; readonly requestId: number }
   /** A response, complete or not, states the availability of its target. */
   | {
     readonly type: "target_stated";
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -17,9 +17,10 @@
   RequestEvent,
 } from "../../core/request/types.ts";
 import { createRefusal } from "../../core/errors.ts";
+import { ByteBudget } from "../../core/limits/byte_budget.ts";
 import type { Target } from "../../core/targets/types.ts";
 import { countHeaderBytes } from "../front/headers.ts";
-import { RequestBody } from "../front/request_body.ts";
+import { MAX_ALL_BUFFERED_BYTES, RequestBody } from "../front/request_body.ts";
 import {
   findHeader,
   hashApiKey,
@@ -74,6 +75,7 @@
   readonly #options: RequestHandlerOptions;
   readonly #attempts: AttemptStarter;
   readonly #state = createPipelineState();
+  readonly #bodyMemory = new ByteBudget(MAX_ALL_BUFFERED_BYTES);
   readonly #exchanges = new Map<number, HttpExchange>();
   /** Identifier of the newest request on each connection. */
   readonly #lastIdBySocket = new WeakMap<Socket, number>();
@@ -172,6 +174,9 @@
       onReady: () => this.#dispatchBodyReady(exchange, body),
       onTooLarge: () =>
         this.dispatch({ type: "body_too_large", requestId: id }),
+      onMemoryFull: () =>
+        this.dispatch({ type: "body_memory_full", requestId: id }),
+      memory: this.#bodyMemory,
     });
     exchange.body = body;
     if (body.isEmpty) this.#dispatchBodyReady(exchange, body);
--- a/src/node/front/request_body.ts
+++ b/src/node/front/request_body.ts
@@ -6,12 +6,24 @@
  */
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
+import type { ByteBudget } from "../../core/limits/byte_budget.ts";
 import { ByteBuffer } from "../byte_buffer.ts";
 import type { RemainingBody } from "../target/attempt.ts";
 import type { BodyFraming } from "./headers.ts";
 
 /** Bodies up to this size are buffered, so that they can be sent again. */
 const MAX_BUFFERED_BYTES = 1_048_576;
+/**
+ * Buffered bytes of all bodies together. A buffer may be twice as large as its
+ * bytes, and they are copied once more when the request is sent, so a host uses
+ * up to 100 MB for them.
+ */
+export const MAX_ALL_BUFFERED_BYTES = 33_554_432;
+/**
+ * Bytes of each body that do not count, so that unfinished large bodies do not
+ * keep out small ones. With 4,000 connections these are 16 MB.
+ */
+const UNCOUNTED_BYTES = 4_096;
 
 /** Receives the progress of a body. */
 export interface BodyListener {
@@ -19,6 +31,16 @@
   onReady(): void;
   /** The body exceeds the limit of the document. */
   onTooLarge(): void;
+  /** The bodies of all requests reach the limit of their memory. */
+  onMemoryFull(): void;
+}
+
+/** Options of a `RequestBody`. */
+export interface RequestBodyOptions extends BodyListener {
+  /** Limit of the document. */
+  readonly maxBytes: number;
+  /** Memory that all bodies share. */
+  readonly memory: ByteBudget;
 }
 
 /** The body of a request while it is being received. */
@@ -26,6 +48,8 @@
   readonly #req: IncomingMessage;
   readonly #listener: BodyListener;
   readonly #maxBytes: number;
+  readonly #memory: ByteBudget;
+  #heldBytes = 0;
   readonly #buffer = new ByteBuffer();
   #receivedBytes = 0;
   #isComplete = false;
@@ -36,11 +60,12 @@
 
   constructor(
     req: IncomingMessage,
-    { maxBytes, ...listener }: BodyListener & { maxBytes: number },
+    { maxBytes, memory, ...listener }: RequestBodyOptions,
   ) {
     this.#req = req;
     this.#listener = listener;
     this.#maxBytes = maxBytes;
+    this.#memory = memory;
     if (!hasBody(req)) {
       this.#isComplete = true;
       return;
@@ -96,7 +121,7 @@
       };
     }
     this.#isStreamed = true;
-    this.#buffer.clear();
+    this.#releaseBuffer();
     const length = this.#req.headers["content-length"];
     return length === undefined
       ? {
@@ -114,7 +139,7 @@
   /** Discards the body, including the part still to be received. */
   dispose(): void {
     this.#writeChunk = undefined;
-    this.#buffer.clear();
+    this.#releaseBuffer();
     this.#isReady = true;
     this.#isStreamed = true;
     this.#req.resume();
@@ -147,6 +172,10 @@
       if (this.#writeChunk?.(chunk) === false) this.#req.pause();
       return;
     }
+    if (!this.#takeMemory()) {
+      this.#listener.onMemoryFull();
+      return this.dispose();
+    }
     this.#buffer.append(chunk);
     if (this.#receivedBytes <= MAX_BUFFERED_BYTES || this.#isReady) return;
     this.#req.pause();
@@ -154,6 +183,21 @@
     this.#listener.onReady();
   }
 
+  /** Takes the memory for the bytes received so far. */
+  #takeMemory(): boolean {
+    const bytes = this.#receivedBytes - UNCOUNTED_BYTES - this.#heldBytes;
+    if (bytes <= 0) return true;
+    if (!this.#memory.take(bytes)) return false;
+    this.#heldBytes += bytes;
+    return true;
+  }
+
+  #releaseBuffer(): void {
+    this.#buffer.clear();
+    this.#memory.release(this.#heldBytes);
+    this.#heldBytes = 0;
+  }
+
   #handleEnd(): void {
     this.#isComplete = true;
     if (this.#isStreamed) return this.#endBody();
