Bound the memory of all unfinished request heads together

Callers saw: the host ended, and with it all requests that it held.

Cause: the parser keeps a head of up to 128 KB as strings on the heap until it is complete or its time is over. Only the single head was bounded. With the heap of 120 MB of deploy/system.toml, 900 callers that sent 120 KB of a head and then nothing ended the process: "FATAL ERROR: Reached heap limit Allocation failed - JavaScript heap out of memory", SIGABRT.

Why it works: every 50 ms, while there are enough connections for it to matter, the largest unfinished heads are refused until the others fit into 32 MB. The heads are polled because a listener for the bytes slows down all reading.

--- a/src/node/front/caller_server.ts
+++ b/src/node/front/caller_server.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { createServer, type RequestListener, type Server } from "node:http";
-import { ERROR_RESPONSES } from "../../core/errors.ts";
+import { limitHeadMemory } from "./head_memory.ts";
+import { writeRawRefusal } from "./raw_refusal.ts";
 
 /** Idle time of a connection until a document sets it. */
 const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
@@ -47,10 +48,11 @@
     connectionsCheckingInterval: HEADERS_CHECK_INTERVAL_MS,
   }, handle);
   // Node.js closes the connection of this method without a response otherwise.
-  server.on("connect", (_req, socket) => {
-    socket.on("error", () => {});
-    socket.end(formatUnsupportedMethod());
-  });
+  server.on(
+    "connect",
+    (_req, socket) => writeRawRefusal(socket, "method_unsupported"),
+  );
+  limitHeadMemory(server, { maxHeadBytes: MAX_HEADER_BYTES });
   return server;
 }
 
@@ -62,14 +64,3 @@
   server.keepAliveTimeout = idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
   server.headersTimeout = headerTimeoutMs + HEADERS_TIMEOUT_MARGIN_MS;
 }
-
-/** Formats the response to a method for which Node.js creates no response. */
-function formatUnsupportedMethod(): string {
-  const { status, message, ran } = ERROR_RESPONSES.method_unsupported;
-  const body = JSON.stringify({
-    error: { kind: "method_unsupported", message, ran, retryAfterMs: 0 },
-  });
-  return `HTTP/1.1 ${status} Not Implemented\r\n` +
-    "content-type: application/json\r\n" +
-    `content-length: ${body.length}\r\nconnection: close\r\n\r\n${body}`;
-}
