Keep descriptors for targets, the store and files under many callers

Callers saw: connections that were reset without an answer when a host had no descriptors left. The host also rejected its settings ("settings_rejected", the file could not be opened) and logged nothing about the cause.

Cause: nothing limited the connections of callers. Without a descriptor, Node.js accepts a connection and closes it at once.

Beyond the limit a new caller is answered with 503 `host_full`, beyond a part of the reserve its connection is closed.

--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Server } from "node:net";
+import { ConnectionLimit } from "../../core/limits/connection_limit.ts";
 import { Quotas } from "../../core/limits/quotas.ts";
 import { Membership } from "../../core/membership/membership.ts";
 import { CandidateCache } from "../../core/membership/candidate_cache.ts";
@@ -20,6 +21,7 @@
 import type { Locality } from "../../core/types.ts";
 import { listen } from "../address.ts";
 import { monotonicMs } from "../clock.ts";
+import { readMaxDescriptors } from "../descriptors.ts";
 import {
   applyCallerLimits,
   createCallerServer,
@@ -345,8 +347,21 @@
     isTaskOwner: (task) => fleetReports.isTaskOwner(task),
     requestReport: () => reportExchange.requestReport(),
   });
-  const callerServer = createCallerServer((req, res) =>
-    handler.handle(req, res)
+  const maxDescriptors = readMaxDescriptors();
+  const connectionLimit = new ConnectionLimit(maxDescriptors);
+  const callerServer = createCallerServer(
+    (req, res) => handler.handle(req, res),
+    {
+      decideConnection(callerConnections) {
+        const openConnections = callerConnections + pool.establishedCount +
+          relayPool.establishedCount;
+        const decision = connectionLimit.decide(openConnections);
+        if (decision !== "accept" && connectionLimit.takeReport(nowMs())) {
+          log.warn("connections_limited", { openConnections, maxDescriptors });
+        }
+        return decision;
+      },
+    },
   );
   const endpoints = new HostEndpoints({
     self,
--- a/src/node/front/caller_server.ts
+++ b/src/node/front/caller_server.ts
@@ -4,8 +4,12 @@
  * @module
  */
 import { createServer, type RequestListener, type Server } from "node:http";
+import type { Socket } from "node:net";
+import { createRefusal } from "../../core/errors.ts";
+import type { ConnectionDecision } from "../../core/limits/connection_limit.ts";
 import { limitHeadMemory } from "./head_memory.ts";
 import { writeRawRefusal } from "./raw_refusal.ts";
+import { writeRefusal } from "./response_writer.ts";
 
 /** Idle time of a connection until a document sets it. */
 const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
@@ -20,6 +24,8 @@
 const HEADERS_TIMEOUT_MARGIN_MS = 1_000;
 /** Time between two checks for headers that are overdue. */
 const HEADERS_CHECK_INTERVAL_MS = 1_000;
+/** Time in which a refused caller has to send its request to be answered. */
+const REFUSED_TIMEOUT_MS = 1_000;
 /** Parser limit; the limit of the document is checked after parsing. */
 const MAX_HEADER_BYTES = 131_072;
 
@@ -39,14 +45,45 @@
   readonly idleTimeoutMs: number;
 }
 
+/** Options of `createCallerServer`. */
+export interface CallerServerOptions {
+  /**
+   * Decides on a new connection; accepts all by default.
+   *
+   * @param callerConnections Number of open connections, with the new one.
+   */
+  readonly decideConnection?: (callerConnections: number) => ConnectionDecision;
+}
+
 /** Creates the server; it does not listen yet. */
-export function createCallerServer(handle: RequestListener): Server {
+export function createCallerServer(
+  handle: RequestListener,
+  { decideConnection = () => "accept" }: CallerServerOptions = {},
+): Server {
+  const refusedSockets = new WeakSet<Socket>();
+  let callerConnections = 0;
   const server = createServer({
     ...FORWARDING_SERVER_OPTIONS,
     keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
     headersTimeout: DEFAULT_HEADERS_TIMEOUT_MS,
     connectionsCheckingInterval: HEADERS_CHECK_INTERVAL_MS,
-  }, handle);
+  }, (req, res) => {
+    if (!refusedSockets.has(req.socket)) return handle(req, res);
+    req.resume();
+    writeRefusal(res, createRefusal("host_full", Math.random), {
+      closesConnection: true,
+    });
+  });
+  server.on("connection", (socket) => {
+    callerConnections += 1;
+    socket.once("close", () => callerConnections -= 1);
+    const decision = decideConnection(callerConnections);
+    if (decision === "accept") return;
+    if (decision === "close") return void socket.destroy();
+    refusedSockets.add(socket);
+    const timer = setTimeout(() => socket.destroy(), REFUSED_TIMEOUT_MS);
+    socket.once("close", () => clearTimeout(timer));
+  });
   // Node.js closes the connection of this method without a response otherwise.
   server.on(
     "connect",
--- a/src/testing/processes.ts
+++ b/src/testing/processes.ts
@@ -40,9 +40,16 @@
 export function startProgram(
   path: string,
   args: readonly string[],
-  options: { env?: Record<string, string> } = {},
+  options: { env?: Record<string, string>; maxDescriptors?: number } = {},
 ): RunningProgram {
-  const child = spawn(process.execPath, [resolve(DIST_FOLDER, path), ...args], {
+  const { maxDescriptors } = options;
+  const command = [process.execPath, resolve(DIST_FOLDER, path), ...args];
+  // Node.js cannot limit the descriptors of a child process.
+  const limit = `ulimit -n ${maxDescriptors}; exec "$@"`;
+  const [file, ...rest] = maxDescriptors === undefined
+    ? command
+    : ["sh", "-c", limit, "sh", ...command];
+  const child = spawn(file, rest, {
     stdio: ["ignore", "pipe", "pipe"],
     env: { ...process.env, ...options.env },
   });
