Bound the messages of calls between hosts

Callers saw: the host ended, and with it all requests that it held.

Cause: the library reads a message of up to 4 GB into memory, and the limit was left at its default on both sides.

Why it works: a request holds a position by kind, so 64 KiB suffice; a response holds all objects, for which 8 MiB leave room. The limit on responses is set but no test sends one that exceeds it.

--- a/src/node/peer/peer_calls.ts
+++ b/src/node/peer/peer_calls.ts
@@ -19,9 +19,18 @@
 } from "./delta_codec.ts";
 import type { PeerHandlers } from "./peer_service.ts";
 
+/** Limit of a request, which holds a position by kind. */
+const MAX_REQUEST_BYTES = 65_536;
+/**
+ * Limit of a response, which holds all objects of the store at most: about
+ * 1 KB for each target.
+ */
+const MAX_RESPONSE_BYTES = 8_388_608;
+
 /** Creates the request listener that serves the calls. */
 export function createPeerListener(handlers: PeerHandlers): RequestListener {
   return connectNodeAdapter({
+    readMaxBytes: MAX_REQUEST_BYTES,
     routes: (router) =>
       router.service(PeerService, {
         fetchObjects: ({ positions }) => ({
@@ -79,6 +88,7 @@
     createConnectTransport({
       baseUrl: `http://${peerAddress}`,
       httpVersion: "1.1",
+      readMaxBytes: MAX_RESPONSE_BYTES,
     }),
   );
 }
