Check the memory of request heads only with many connections

The check ran 20 times a second on every host. Below 256 connections their heads cannot exceed the limit, so the timer runs only above it. host_memory_test passes as before.

--- a/src/node/front/head_memory.ts
+++ b/src/node/front/head_memory.ts
@@ -32,9 +32,14 @@
   { maxHeadBytes }: { maxHeadBytes: number },
 ): void {
   const connections = new Map<Socket, ConnectionProgress>();
+  const mayExceedLimit = () =>
+    connections.size * maxHeadBytes > MAX_UNFINISHED_BYTES;
+  let timer: NodeJS.Timeout | undefined;
   server.on("connection", (socket) => {
     connections.set(socket, { consumedBytes: 0, requestsInProgress: 0 });
     socket.once("close", () => connections.delete(socket));
+    // Few connections cannot exceed the limit and need no timer.
+    if (mayExceedLimit()) timer ??= setInterval(check, CHECK_INTERVAL_MS);
   });
   server.on("request", ({ socket }, res) => {
     const progress = connections.get(socket);
@@ -45,9 +50,11 @@
       progress.consumedBytes = socket.bytesRead;
     });
   });
+  server.once("close", stopChecks);
+
   // Polled, as Node.js reads slower with a listener for the bytes.
-  const timer = setInterval(() => {
-    if (connections.size * maxHeadBytes <= MAX_UNFINISHED_BYTES) return;
+  function check(): void {
+    if (!mayExceedLimit()) return stopChecks();
     const heads = [...connections]
       .filter(([, { requestsInProgress }]) => requestsInProgress === 0)
       .map(([socket, { consumedBytes }]) => ({
@@ -58,7 +65,10 @@
       connections.delete(socket);
       writeRawRefusal(socket, "host_full");
     }
-  }, CHECK_INTERVAL_MS);
-  timer.unref();
-  server.once("close", () => clearInterval(timer));
+  }
+
+  function stopChecks(): void {
+    clearInterval(timer);
+    timer = undefined;
+  }
 }
