Report the build of each host to the other hosts

Operators could not tell from logs or metrics whether a fleet runs two builds. Builds that report none are counted with an empty label.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -10,8 +10,8 @@
 // The packages that it needs are installed first if they are not there.
 //
 // Usage: node scripts/bundle.mjs [FOLDER], by default `target`.
-import { execFileSync } from "node:child_process";
-import { renameSync } from "node:fs";
+import { execFileSync, spawnSync } from "node:child_process";
+import { readFileSync, renameSync } from "node:fs";
 import { join } from "node:path";
 import { ensureInstalled } from "./install.mjs";
 import { useWorkFolder } from "./work_folder.mjs";
@@ -19,6 +19,18 @@
 const PROGRAM = "cranberry_entry.js";
 const START_TIMEOUT_MS = 60_000;
 
+/** Returns the version of the build, with the commit where the history is. */
+function readBuildVersion() {
+  const { version } = JSON.parse(readFileSync("package.json", "utf8"));
+  // Names the folder, as a copy of the sources may lie in another repository.
+  const { status, stdout } = spawnSync(
+    "git",
+    ["--git-dir=.git", "rev-parse", "--short", "HEAD"],
+    { encoding: "utf8" },
+  );
+  return status === 0 ? `${version}+${stdout.trim()}` : version;
+}
+
 const folder = process.argv[2] ?? "target";
 await useWorkFolder(folder, async (workFolder) => {
   ensureInstalled(process.cwd(), workFolder);
@@ -34,6 +46,7 @@
     platform: "node",
     target: "node20",
     legalComments: "none",
+    define: { DEPLOYED_BUILD: JSON.stringify(readBuildVersion()) },
     // CommonJS packages load Node.js modules with `require`.
     banner: {
       js: "import { createRequire } from 'node:module';" +
--- a/src/core/membership/membership_test.ts
+++ b/src/core/membership/membership_test.ts
@@ -14,6 +14,7 @@
     sequence: 1,
     state: "ready",
     hasTargetPath: true,
+    build: "0.1.0+1a2b3c4",
   };
 }
 
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -31,4 +31,6 @@
   readonly state: HostState;
   /** Whether the host reaches targets; see `core/targets/target_path.ts`. */
   readonly hasTargetPath: boolean;
+  /** Build that the process runs; "" from builds that report none. */
+  readonly build: string;
 }
--- a/src/core/relay/choose_relay_host_test.ts
+++ b/src/core/relay/choose_relay_host_test.ts
@@ -20,6 +20,7 @@
     sequence: 1,
     state: "ready",
     hasTargetPath: true,
+    build: "0.1.0+1a2b3c4",
     ...overrides,
   };
 }
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -20,6 +20,7 @@
 import { TargetTable } from "../../core/targets/target_table.ts";
 import type { Locality } from "../../core/types.ts";
 import { listen } from "../address.ts";
+import { BUILD_VERSION } from "../build_version.ts";
 import { monotonicMs } from "../clock.ts";
 import { readMaxDescriptors } from "../descriptors.ts";
 import {
@@ -132,6 +133,7 @@
   const guard = createGuard(log);
   const tracing = await loadTracing(settings.telemetry.traceFile);
   log.event("starting", {
+    build: BUILD_VERSION,
     processId: process.pid,
     nodeVersion: process.version,
     platform: `${process.platform}-${process.arch}`,
@@ -235,6 +237,7 @@
   const fleetReports = new FleetReports({
     self,
     startedMs,
+    build: BUILD_VERSION,
     state: hostState,
     hasTargetPath: () => !targetPath.isLost,
     membership,
@@ -365,6 +368,7 @@
   );
   const endpoints = new HostEndpoints({
     self,
+    build: BUILD_VERSION,
     state: hostState,
     settings: () => options.settings.current,
     membership,
--- a/src/node/entry/fleet_reports.ts
+++ b/src/node/entry/fleet_reports.ts
@@ -45,6 +45,8 @@
   readonly self: HostAddress;
   /** Unix time of the process start in milliseconds. */
   readonly startedMs: number;
+  /** Build that this process runs. */
+  readonly build: string;
   readonly state: () => HostState;
   /** Whether this host reaches targets. */
   readonly hasTargetPath: () => boolean;
@@ -71,8 +73,11 @@
   readonly #options: FleetReportsOptions;
   readonly #reports = new Map<string, HostReport>();
   readonly #peerStatuses = new Map<string, PeerStatus>();
-  /** Start of the last known process of each host. */
-  readonly #peerStartsMs = new Map<string, number>();
+  /** Last known process of each host. */
+  readonly #peerProcesses = new Map<
+    string,
+    Pick<HostRecord, "startedMs" | "build">
+  >();
   readonly #blockedFingerprints = new Set<string>();
   #recordedCrashes: { crash: CrashReport; recordedMs: number }[] = [];
   #sequence = 0;
@@ -90,7 +95,7 @@
   createReport(): HostReport {
     const { self, startedMs, state, quotas, targets, counts, releases, nowMs } =
       this.#options;
-    const { replica } = this.#options;
+    const { replica, build } = this.#options;
     this.#sequence += 1;
     const atMs = nowMs();
     this.#recordedCrashes = this.#recordedCrashes.filter((recorded) =>
@@ -104,6 +109,7 @@
         sequence: this.#sequence,
         state: state(),
         hasTargetPath: this.#options.hasTargetPath(),
+        build,
       },
       positions: replica().changedPositions(),
       documentVersion: this.#options.documentVersion(),
@@ -247,15 +253,23 @@
     return true;
   }
 
-  #detectNewPeer({ id, state, startedMs }: HostRecord): void {
-    const { targets, nowMs, requestReport } = this.#options;
-    if (this.#peerStartsMs.get(id) === startedMs) return;
-    this.#peerStartsMs.set(id, startedMs);
+  #detectNewPeer({ id, state, startedMs, build }: HostRecord): void {
+    const { targets, nowMs, requestReport, log } = this.#options;
+    const earlier = this.#peerProcesses.get(id);
+    if (earlier?.startedMs === startedMs) return;
+    this.#peerProcesses.set(id, { startedMs, build });
+    if (earlier !== undefined && earlier.build !== build) {
+      log.event("host_build_changed", {
+        peer: id,
+        build,
+        previousBuild: earlier.build,
+      });
+    }
     // A process that has just started does not know which targets are leaving.
     targets.repeatLeavingReports(nowMs());
     if (targets.createLeavingReport(nowMs()).length > 0) requestReport();
     if (this.#peerStatuses.has(id)) return;
-    this.#options.log.event("host_met", { peer: id, state });
+    log.event("host_met", { peer: id, state, build });
     this.updateQuotaPeers();
   }
 
--- a/src/node/entry/host_endpoints.ts
+++ b/src/node/entry/host_endpoints.ts
@@ -30,6 +30,8 @@
 /** Options of `HostEndpoints`. */
 export interface HostEndpointsOptions {
   readonly self: HostAddress;
+  /** Build that this process runs. */
+  readonly build: string;
   readonly state: () => HostState;
   readonly settings: () => EntrySettings;
   readonly membership: Membership;
@@ -94,7 +96,12 @@
   serveMetrics(_req: IncomingMessage, res: ServerResponse): void {
     const { metrics, membership, replica, targets, requestsInProgress, nowMs } =
       this.#options;
-    metrics.liveHosts.set(membership.livePeers(nowMs()).length);
+    const livePeers = membership.livePeers(nowMs());
+    metrics.liveHosts.set(livePeers.length);
+    metrics.hostBuilds.reset();
+    for (const { build } of [...livePeers, this.#options]) {
+      metrics.hostBuilds.inc({ build });
+    }
     metrics.requestsInProgress.set(requestsInProgress());
     metrics.storeAgeSeconds.set(replica.availability.ageMs / 1_000);
     metrics.targets.reset();
@@ -116,12 +123,13 @@
       this.#options;
     return {
       host: self,
+      build: this.#options.build,
       state: state(),
       hasTargetPath: this.#options.hasTargetPath(),
       documentVersion: applier.document?.version,
       storeAgeMs: Math.round(replica.availability.ageMs),
       liveHosts: membership.livePeers(nowMs())
-        .map((host) => ({ id: host.id, state: host.state })),
+        .map(({ id, state, build }) => ({ id, state, build })),
       evacuatedZones: [...applier.evacuatedZones],
       stoppedVersions: releases.getStoppedVersions(),
       requestsInProgress: this.#options.requestsInProgress(),
--- a/src/node/peer/report_codec_test.ts
+++ b/src/node/peer/report_codec_test.ts
@@ -16,6 +16,7 @@
       sequence: n,
       state: "ready",
       hasTargetPath: false,
+      build: "0.1.0+1a2b3c4",
     },
     positions: new Map([["targets", { epoch: 3, revision: 40 + n }]]),
     documentVersion: 7,
--- a/src/node/peer/report_exchange_test.ts
+++ b/src/node/peer/report_exchange_test.ts
@@ -29,6 +29,7 @@
       sequence: 1,
       state: "ready",
       hasTargetPath: true,
+      build: "0.1.0+1a2b3c4",
     },
     positions: new Map(),
     documentVersion: 0,
--- a/src/node/telemetry/metrics.ts
+++ b/src/node/telemetry/metrics.ts
@@ -115,6 +115,11 @@
       ["direction"],
     ),
     liveHosts: gauge("live_hosts", "Live hosts other than this one"),
+    hostBuilds: gauge(
+      "host_builds",
+      "Live hosts by the build that they run, with this one",
+      ["build"],
+    ),
     targets: gauge("targets", "Registered targets by service", ["service"]),
     limitedTargets: gauge(
       "limited_targets",
