Refuse requests once an idle host has decided to exit

A host that stops exits early, from 40% of its grace period on, when no request is in progress, but it accepted requests until 55%. A request that arrived on an open connection while the host closed its connections and wrote its last log lines could be passed on and cut off by the exit.

`GracefulStop.end` puts the host into the last phase, in which requests are refused at once, when it decides to exit.

--- a/src/core/stop/graceful_stop.ts
+++ b/src/core/stop/graceful_stop.ts
@@ -28,6 +28,7 @@
 /** Tracks the progress of a stop. */
 export class GracefulStop {
   #beganMs: number | undefined;
+  #isEnded = false;
   readonly #graceMs: () => number;
 
   /**
@@ -43,9 +44,18 @@
     this.#beganMs ??= nowMs;
   }
 
+  /**
+   * Ends the stop early, as no request is in progress. Later requests are
+   * refused, as the process could exit before their responses.
+   */
+  end(): void {
+    this.#isEnded = true;
+  }
+
   /** Returns the phase at a time. */
   phaseAt(nowMs: number): StopPhase {
     if (this.#beganMs === undefined) return "serving";
+    if (this.#isEnded) return "ended";
     const elapsedFraction = (nowMs - this.#beganMs) / this.#graceMs();
     if (elapsedFraction >= EXIT_AFTER_FRACTION) return "ended";
     return elapsedFraction >= REFUSE_AFTER_FRACTION ? "refusing" : "leaving";
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -481,6 +481,7 @@
     while (!gracefulStop.mayExit(handler.requestsInProgress, nowMs())) {
       await sleep(50);
     }
+    gracefulStop.end();
     clearInterval(tickTimer);
     clearInterval(reloadTimer);
     stopFollowing();
