Log to a datagram socket, too

A `Socket` cannot be opened on a Unix datagram socket. Tried by hand, as Node.js cannot create such a socket for a test.

--- a/src/node/telemetry/line_writer.ts
+++ b/src/node/telemetry/line_writer.ts
@@ -32,14 +32,12 @@
  */
 export function openDescriptor(descriptor: number): WriteBytes {
   const stat = fstatSync(descriptor);
-  if (!stat.isFIFO() && !stat.isSocket()) {
+  const socket = stat.isFIFO() || stat.isSocket()
+    ? openSocket(descriptor)
+    : undefined;
+  if (socket === undefined) {
     return (bytes, onResult) => writeFile(descriptor, bytes, onResult);
   }
-  const socket = new Socket({
-    fd: descriptor,
-    readable: false,
-    writable: true,
-  });
   // Each write reports its error to its callback, too.
   socket.on("error", () => {});
   socket.unref();
@@ -47,6 +45,17 @@
     socket.write(bytes, (error) => onResult(error ?? null, bytes.length));
 }
 
+/** Opens a pipe or stream socket; `undefined` for a socket of another type. */
+function openSocket(descriptor: number): Socket | undefined {
+  try {
+    return new Socket({ fd: descriptor, readable: false, writable: true });
+  } catch (error) {
+    const { code } = error as NodeJS.ErrnoException;
+    if (code === "ERR_INVALID_FD_TYPE") return undefined;
+    throw error;
+  }
+}
+
 /** Collects lines and writes them in batches, one batch at a time. */
 export class LineWriter {
   readonly #writeBytes: WriteBytes;
