Do not take the rest of a refused body for an unfinished head

Callers saw: a second response, 503 `host_full`, on a connection whose request had been refused, while the rest of its body was still arriving. A request that completed just after the refusal of its head could still have run.

Cause: the check of unfinished heads counted all bytes after a response.

Why it works: bytes count only after the request was received completely, and no request is handled on a connection that got such a refusal.

--- a/src/node/front/caller_server.ts
+++ b/src/node/front/caller_server.ts
@@ -89,7 +89,10 @@
     "connect",
     (_req, socket) => writeRawRefusal(socket, "method_unsupported"),
   );
-  limitHeadMemory(server, { maxHeadBytes: MAX_HEADER_BYTES });
+  limitHeadMemory(server, {
+    maxHeadBytes: MAX_HEADER_BYTES,
+    onRefused: (socket) => refusedSockets.add(socket),
+  });
   return server;
 }
 
--- a/src/node/front/head_memory.ts
+++ b/src/node/front/head_memory.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Server } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
 import { chooseHeadsToRefuse } from "../../core/limits/head_memory.ts";
 import { writeRawRefusal } from "./raw_refusal.ts";
@@ -20,49 +20,65 @@
   /** Bytes on the connection before the head that is awaited. */
   consumedBytes: number;
   requestsInProgress: number;
+  /** The newest request, whose body may go on after its response. */
+  lastRequest: IncomingMessage | undefined;
 }
 
 /**
  * Bounds the memory of unfinished heads on a server.
  *
- * @param options `maxHeadBytes` is the limit of the parser for one head.
+ * @param options `maxHeadBytes` is the limit of the parser for one head,
+ * `maxUnfinishedBytes` that of all unfinished heads together. `onRefused` is called with a refused connection, on which no request may be
+ * handled any more.
  */
 export function limitHeadMemory(
   server: Server,
-  { maxHeadBytes }: { maxHeadBytes: number },
+  { maxHeadBytes, onRefused, maxUnfinishedBytes = MAX_UNFINISHED_BYTES }: {
+    maxHeadBytes: number;
+    onRefused: (socket: Socket) => void;
+    maxUnfinishedBytes?: number;
+  },
 ): void {
   const connections = new Map<Socket, ConnectionProgress>();
   const mayExceedLimit = () =>
-    connections.size * maxHeadBytes > MAX_UNFINISHED_BYTES;
+    connections.size * maxHeadBytes > maxUnfinishedBytes;
   let timer: NodeJS.Timeout | undefined;
   server.on("connection", (socket) => {
-    connections.set(socket, { consumedBytes: 0, requestsInProgress: 0 });
+    connections.set(socket, {
+      consumedBytes: 0,
+      requestsInProgress: 0,
+      lastRequest: undefined,
+    });
     socket.once("close", () => connections.delete(socket));
     // Few connections cannot exceed the limit and need no timer.
     if (mayExceedLimit()) timer ??= setInterval(check, CHECK_INTERVAL_MS);
   });
-  server.on("request", ({ socket }, res) => {
-    const progress = connections.get(socket);
+  server.on("request", (req, res) => {
+    const progress = connections.get(req.socket);
     if (progress === undefined) return;
     progress.requestsInProgress += 1;
-    res.once("close", () => {
-      progress.requestsInProgress -= 1;
-      progress.consumedBytes = socket.bytesRead;
-    });
+    progress.lastRequest = req;
+    res.once("close", () => progress.requestsInProgress -= 1);
   });
   server.once("close", stopChecks);
 
   // Polled, as Node.js reads slower with a listener for the bytes.
   function check(): void {
     if (!mayExceedLimit()) return stopChecks();
-    const heads = [...connections]
-      .filter(([, { requestsInProgress }]) => requestsInProgress === 0)
-      .map(([socket, { consumedBytes }]) => ({
-        socket,
-        bytes: socket.bytesRead - consumedBytes,
-      }));
-    for (const { socket } of chooseHeadsToRefuse(heads, MAX_UNFINISHED_BYTES)) {
+    const heads = [...connections].map(([socket, progress]) => {
+      const { lastRequest, requestsInProgress } = progress;
+      if (lastRequest !== undefined) {
+        // What has arrived until now may be its body.
+        progress.consumedBytes = socket.bytesRead;
+        if (lastRequest.complete && requestsInProgress === 0) {
+          progress.lastRequest = undefined;
+        }
+      }
+      return { socket, bytes: socket.bytesRead - progress.consumedBytes };
+    });
+    for (const { socket } of chooseHeadsToRefuse(heads, maxUnfinishedBytes)) {
       connections.delete(socket);
+      onRefused(socket);
       writeRawRefusal(socket, "host_full");
     }
   }
--- /dev/null
+++ b/src/node/front/head_memory_test.ts
@@ -0,0 +1,64 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer, type RequestListener } from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { test, type TestContext } from "node:test";
+import { limitHeadMemory } from "./head_memory.ts";
+
+const MAX_HEAD_BYTES = 131_072;
+const MAX_UNFINISHED_BYTES = 65_536;
+const BODY_BYTES = 300_000;
+/** Several times the interval of the checks. */
+const OBSERVATION_MS = 300;
+
+/**
+ * Sends a text to a server with limited heads, and more of it once the first
+ * part is handled. Returns what comes back.
+ */
+async function exchange(
+  t: TestContext,
+  [text, laterText]: readonly [string, string],
+  handle: RequestListener,
+): Promise<string> {
+  const server = createServer({ maxHeaderSize: MAX_HEAD_BYTES }, handle);
+  limitHeadMemory(server, {
+    maxHeadBytes: MAX_HEAD_BYTES,
+    maxUnfinishedBytes: MAX_UNFINISHED_BYTES,
+    onRefused() {},
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+  t.after(() => {
+    socket.destroy();
+    server.close();
+  });
+  let received = "";
+  socket.on("error", () => {});
+  socket.on("data", (bytes) => received += bytes.toString("latin1"));
+  socket.write(text);
+  await new Promise((done) => setTimeout(done, OBSERVATION_MS));
+  socket.write(laterText);
+  await new Promise((done) => setTimeout(done, OBSERVATION_MS));
+  return received;
+}
+
+// Guards against unfinished heads that fill the heap of a host.
+test("an unfinished head beyond the limit is refused", async (t) => {
+  const lines = `x: ${"x".repeat(1_000)}\r\n`.repeat(80);
+  const received = await exchange(t, ["GET / HTTP/1.1\r\n", lines], () => {});
+  assert.match(received, /^HTTP\/1\.1 503 .*"host_full"/s);
+});
+
+// Guards against the rest of a body that is taken for an unfinished head: its
+// caller gets a second response, which says that the request has not run.
+test("the body of a request that was answered early is no head", async (t) => {
+  const head = `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${BODY_BYTES}`;
+  const body = "x".repeat(BODY_BYTES - 1);
+  const received = await exchange(t, [`${head}\r\n\r\n`, body], (req, res) => {
+    req.resume();
+    res.end("early");
+  });
+  assert.equal(received.match(/HTTP\/1\.1 /g)?.length, 1);
+  assert.match(received, /^HTTP\/1\.1 200 /);
+});
