Close the connection of a refused body that does not end

Callers saw: other requests at a host answered after up to 4.1 s, or not within 5 s, beside 200 callers that went on sending bodies that had been refused.

Cause: the rest of a refused body was read and discarded without a limit, with an event for each part.

A host reads 1 MiB beyond the limit of a body, so that a caller that is still sending gets its refusal, then stops reading and closes the connection a second later. caller_test on the code before: the connection was still open after 10 s and 32 MB ("test timed out after 10000ms"). The slowest answers beside such callers were not measured again.

--- a/src/node/front/request_body.ts
+++ b/src/node/front/request_body.ts
@@ -25,6 +25,18 @@
  */
 const UNCOUNTED_BYTES = 4_096;
 
+/**
+ * Bytes beyond the limit of the document that are read and discarded, so that a
+ * caller that is still sending can read the refusal.
+ */
+const MAX_DISCARDED_BYTES = 1_048_576;
+/**
+ * Time from the last byte that is read of such a body to the close of its
+ * connection. A close at once would take the refusal from a caller that has not
+ * read it yet.
+ */
+const REFUSED_LINGER_MS = 1_000;
+
 /** Receives the progress of a body. */
 export interface BodyListener {
   /** The body is complete, or its buffered part has reached the limit. */
@@ -55,6 +67,7 @@
   #isComplete = false;
   #isReady = false;
   #isStreamed = false;
+  #isDisposed = false;
   #writeChunk: ((chunk: Buffer) => boolean) | undefined;
   #endBody = () => {};
 
@@ -138,6 +151,7 @@
 
   /** Discards the body, including the part still to be received. */
   dispose(): void {
+    this.#isDisposed = true;
     this.#writeChunk = undefined;
     this.#releaseBuffer();
     this.#isReady = true;
@@ -165,6 +179,10 @@
   #receive(chunk: Buffer): void {
     this.#receivedBytes += chunk.length;
     if (this.#receivedBytes > this.#maxBytes) {
+      if (this.#receivedBytes > this.#maxBytes + MAX_DISCARDED_BYTES) {
+        return this.#closeAfterLinger();
+      }
+      if (this.#isDisposed) return;
       this.#listener.onTooLarge();
       return this.dispose();
     }
@@ -183,6 +201,12 @@
     this.#listener.onReady();
   }
 
+  #closeAfterLinger(): void {
+    this.#req.pause();
+    const timer = setTimeout(() => this.#req.destroy(), REFUSED_LINGER_MS);
+    this.#req.once("close", () => clearTimeout(timer));
+  }
+
   /** Takes the memory for the bytes received so far. */
   #takeMemory(): boolean {
     const bytes = this.#receivedBytes - UNCOUNTED_BYTES - this.#heldBytes;
