Repeat the registration of a host after an unexpected error

An error other than a StoreError left the registration marked as in progress, so no later check started another one and the host stayed unregistered. No run of a host shows such an error; the path was found by reading. The error is logged and the registration repeated.

The test before the change:

✖ a registration is repeated after an unexpected error TypeError [Error]: unexpected

--- a/src/node/entry/host_registration.ts
+++ b/src/node/entry/host_registration.ts
@@ -10,6 +10,7 @@
 import type { Random } from "../../core/types.ts";
 import type { ObjectCodec } from "../store/object_codec.ts";
 import { type ObjectStore, StoreError } from "../store/object_store.ts";
+import { logUnexpectedError } from "../telemetry/guard.ts";
 import type { Log } from "../telemetry/log.ts";
 import type { StoreReplica } from "./store_replica.ts";
 
@@ -59,8 +60,8 @@
         log.event("registered");
         break;
       } catch (error) {
-        if (!(error instanceof StoreError)) throw error;
-        replica.recordFailure(error.message);
+        if (error instanceof StoreError) replica.recordFailure(error.message);
+        else logUnexpectedError(log, "register", error);
         await sleep(MEAN_RETRY_DELAY_MS * (0.5 + random()));
       }
     }
