Continue the updates of a kind after an unexpected error

An error other than a StoreError, thrown by a call or by the handling of its changes, ended the loop that lists and watches a kind. The process went on and applied no change of the store to this kind any more. No run of a host shows such an error; the path was found by reading. The error is logged, and the next step follows after the back-off of failed calls.

The test before the change:

✖ an unexpected error does not end the updates TypeError [Error]: unexpected

--- a/src/node/entry/store_replica.ts
+++ b/src/node/entry/store_replica.ts
@@ -34,6 +34,7 @@
 import type { PushedDelta } from "../peer/report_codec.ts";
 import { type FollowMode, KindFollower } from "../store/kind_follower.ts";
 import { type ObjectStore, StoreError } from "../store/object_store.ts";
+import { logUnexpectedError } from "../telemetry/guard.ts";
 import type { Log } from "../telemetry/log.ts";
 import {
   findWatchWaitMs,
@@ -132,6 +133,8 @@
             log.event("history_lost", { kind, held: view.position }),
           onResponse: () => this.recordResponse(),
           onFailure: (error) => this.recordFailure(error.message),
+          onUnexpectedError: (error) =>
+            logUnexpectedError(log, `updates of ${kind}`, error),
         }),
       );
     }
--- a/src/node/store/kind_follower.ts
+++ b/src/node/store/kind_follower.ts
@@ -63,6 +63,8 @@
   readonly onResponse: () => void;
   /** Called when a call had no usable response. */
   readonly onFailure: (error: StoreError) => void;
+  /** Called with an error that is no failure of a call. */
+  readonly onUnexpectedError: (error: unknown) => void;
 }
 
 /** Updates a view of one kind from the store. */
@@ -153,7 +155,12 @@
         : 0;
     } catch (error) {
       if (signal.aborted) return 0;
-      if (!(error instanceof StoreError)) throw error;
+      if (!(error instanceof StoreError)) {
+        // Without another step, the view would stay outdated for good.
+        this.#options.onUnexpectedError(error);
+        this.#failureCount += 1;
+        return this.#backOffMs(this.#failureCount);
+      }
       if (error.kind === "compacted") {
         onResponse();
         this.#options.onHistoryLost();
--- a/src/node/store/kind_follower_test.ts
+++ b/src/node/store/kind_follower_test.ts
@@ -32,6 +32,7 @@
   let listCount = 0;
   let watchCount = 0;
   let failureCount = 0;
+  let unexpectedCount = 0;
   const rejectCall = () => Promise.reject(new Error("unexpected call"));
   const store: ObjectStore = {
     async list() {
@@ -63,6 +64,7 @@
     onHistoryLost() {},
     onResponse() {},
     onFailure: () => failureCount += 1,
+    onUnexpectedError: () => unexpectedCount += 1,
   });
   const stop = follower.start();
   const timer = catchUpIntervalMs === undefined
@@ -71,7 +73,7 @@
   await sleep(durationMs);
   clearInterval(timer);
   stop();
-  return { view, listCount, watchCount, failureCount };
+  return { view, listCount, watchCount, failureCount, unexpectedCount };
 }
 
 /** Waits until the call is aborted, as a watch without changes does. */
@@ -174,3 +176,16 @@
   assert.ok(failureCount >= 1, `${failureCount} failures`);
   assert.ok(watchCount <= 6, `${watchCount} watches`);
 });
+
+// Guards against one unexpected error, such as in the handling of changes, that
+// ends the updates of a kind for the rest of the process.
+test("an unexpected error does not end the updates", async () => {
+  const { watchCount, unexpectedCount } = await follow({
+    position: () => ({ epoch: 1, revision: 3 }),
+    watch: () => Promise.reject(new TypeError("unexpected")),
+    durationMs: 700,
+  });
+  assert.ok(watchCount >= 2, `${watchCount} watches`);
+  assert.ok(watchCount <= 5, `${watchCount} watches`);
+  assert.ok(unexpectedCount >= 2, `${unexpectedCount} errors`);
+});
