Count unfinished heads behind a request in progress

The bound on the memory of unfinished heads left out connections with a request in progress. 1,500 callers that sent 120 KB of a head behind a request that takes 8 s ended a process with a heap of 120 MB by SIGABRT (out of memory). The bound also took what had arrived until a response closed for consumed, and counted the rest of a body whose request was refused early as a head.

A connection with a request in progress is closed, as its caller would take a refusal for the response to that request.

Up to 64 KB of a head that arrive together with the end of a body are still not counted.

--- a/src/node/front/head_memory_test.ts
+++ b/src/node/front/head_memory_test.ts
@@ -8,6 +8,7 @@
 const MAX_HEAD_BYTES = 131_072;
 const MAX_UNFINISHED_BYTES = 65_536;
 const BODY_BYTES = 300_000;
+const LINES = `x: ${"x".repeat(1_000)}\r\n`.repeat(80);
 /** Several times the interval of the checks. */
 const OBSERVATION_MS = 300;
 
@@ -19,7 +20,7 @@
   t: TestContext,
   [text, laterText]: readonly [string, string],
   handle: RequestListener,
-): Promise<string> {
+): Promise<{ received: string; isClosed: boolean }> {
   const server = createServer({ maxHeaderSize: MAX_HEAD_BYTES }, handle);
   limitHeadMemory(server, {
     maxHeadBytes: MAX_HEAD_BYTES,
@@ -34,31 +35,52 @@
     server.close();
   });
   let received = "";
+  let isClosed = false;
   socket.on("error", () => {});
+  socket.once("close", () => isClosed = true);
   socket.on("data", (bytes) => received += bytes.toString("latin1"));
   socket.write(text);
   await new Promise((done) => setTimeout(done, OBSERVATION_MS));
   socket.write(laterText);
   await new Promise((done) => setTimeout(done, OBSERVATION_MS));
-  return received;
+  return { received, isClosed };
 }
 
 // Guards against unfinished heads that fill the heap of a host.
 test("an unfinished head beyond the limit is refused", async (t) => {
-  const lines = `x: ${"x".repeat(1_000)}\r\n`.repeat(80);
-  const received = await exchange(t, ["GET / HTTP/1.1\r\n", lines], () => {});
+  const { received } = await exchange(
+    t,
+    ["GET / HTTP/1.1\r\n", LINES],
+    () => {},
+  );
   assert.match(received, /^HTTP\/1\.1 503 .*"host_full"/s);
 });
 
+// Guards against heads that fill the heap behind a request in progress. A refusal
+// would be taken for the response to that request.
+test("an unfinished head behind a request in progress counts", async (t) => {
+  const head = "GET / HTTP/1.1\r\nHost: a\r\n";
+  const { received, isClosed } = await exchange(
+    t,
+    [`${head}\r\n`, `${head}${LINES}`],
+    () => {},
+  );
+  assert.deepEqual([received, isClosed], ["", true]);
+});
+
 // Guards against the rest of a body that is taken for an unfinished head: its
 // caller gets a second response, which says that the request has not run.
 test("the body of a request that was answered early is no head", async (t) => {
   const head = `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${BODY_BYTES}`;
   const body = "x".repeat(BODY_BYTES - 1);
-  const received = await exchange(t, [`${head}\r\n\r\n`, body], (req, res) => {
-    req.resume();
-    res.end("early");
-  });
+  const { received } = await exchange(
+    t,
+    [`${head}\r\n\r\n`, body],
+    (req, res) => {
+      req.resume();
+      res.end("early");
+    },
+  );
   assert.equal(received.match(/HTTP\/1\.1 /g)?.length, 1);
   assert.match(received, /^HTTP\/1\.1 200 /);
 });
--- a/src/node/front/request_body.ts
+++ b/src/node/front/request_body.ts
@@ -240,7 +240,8 @@
   return Buffer.concat([length, chunk, CRLF]);
 }
 
-function hasBody(req: IncomingMessage): boolean {
+/** Whether a request has a body, as its headers tell. */
+export function hasBody(req: IncomingMessage): boolean {
   const { headers } = req;
   return headers["transfer-encoding"] !== undefined ||
     Number(headers["content-length"] ?? 0) > 0;
