Limit unfinished heads by the document's limit in the parser

Callers saw: a host ended in host_memory_test on a busy machine, once, while 1,500 callers sent 120 KB of a head each (its /proc entry was gone; its output was not kept, so that it ran out of heap is not shown).

Cause, by reading: the sum of unfinished heads is checked by a timer, and a busy event loop can read the heads of all connections before the timer runs. Each may have been 128 KB, so 1,000 of them fill a heap of 120 MB.

The parser's limit follows the document now: twice its limit of a head, 32 KB with the usual 16 KB.

--- a/src/node/front/caller_server.ts
+++ b/src/node/front/caller_server.ts
@@ -26,8 +26,16 @@
 const HEADERS_CHECK_INTERVAL_MS = 1_000;
 /** Time in which a refused caller has to send its request to be answered. */
 const REFUSED_TIMEOUT_MS = 1_000;
-/** Parser limit; the limit of the document is checked after parsing. */
+/** Parser limit until a document sets it, and its upper limit. */
 const MAX_HEADER_BYTES = 131_072;
+/**
+ * Parser limit as a multiple of the limit of the document, which is checked
+ * after parsing, so that heads a little above it get a refusal that names it.
+ * Thousands of connections may each hold an unfinished head of this size.
+ */
+const PARSER_LIMIT_FACTOR = 2;
+/** Least parser limit, for documents with a very small limit of their own. */
+const MIN_PARSER_LIMIT = 16_384;
 
 /** Options of servers that accept requests for targets. */
 export const FORWARDING_SERVER_OPTIONS = {
@@ -37,8 +45,10 @@
   noDelay: true,
 } as const;
 
-/** Time limits of connections, as the document sets them. */
+/** Limits of connections, as the document sets them. */
 export interface CallerLimits {
+  /** Largest head of a request. */
+  readonly maxHeaderBytes: number;
   /** Time in which all headers of a request have to arrive. */
   readonly headerTimeoutMs: number;
   /** Time for which callers may keep an idle connection. */
@@ -99,8 +109,14 @@
 /** Applies the limits of a new document to a running server. */
 export function applyCallerLimits(
   server: Server,
-  { headerTimeoutMs, idleTimeoutMs }: CallerLimits,
+  { maxHeaderBytes, headerTimeoutMs, idleTimeoutMs }: CallerLimits,
 ): void {
+  const parserLimit = Math.max(
+    MIN_PARSER_LIMIT,
+    Math.min(MAX_HEADER_BYTES, PARSER_LIMIT_FACTOR * maxHeaderBytes),
+  );
+  // Node.js reads this property of the server for each new connection.
+  (server as { maxHeaderSize?: number }).maxHeaderSize = parserLimit;
   server.keepAliveTimeout = idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
   server.headersTimeout = headerTimeoutMs + HEADERS_TIMEOUT_MARGIN_MS;
 }
