Split the opening of addresses and the limit of connections off the entry host

A host that waited for its lookup address was reached by callers meanwhile, and a signal then ended it without a stop, as callers came before lookups in the order of the start; found by reading, no run shows it. Callers come last now. Otherwise the code moves to files of its own.

--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -4,8 +4,6 @@
  *
  * @module
  */
-import type { Server } from "node:net";
-import { ConnectionLimit } from "../../core/limits/connection_limit.ts";
 import { Quotas } from "../../core/limits/quotas.ts";
 import { Membership } from "../../core/membership/membership.ts";
 import { CandidateCache } from "../../core/membership/candidate_cache.ts";
@@ -19,10 +17,8 @@
 import { RoundTripTimes } from "../../core/targets/round_trip_times.ts";
 import { TargetTable } from "../../core/targets/target_table.ts";
 import type { Locality } from "../../core/types.ts";
-import { listen } from "../address.ts";
 import { BUILD_VERSION } from "../build_version.ts";
 import { monotonicMs } from "../clock.ts";
-import { readMaxDescriptors } from "../descriptors.ts";
 import {
   applyCallerLimits,
   createCallerServer,
@@ -41,11 +37,13 @@
 import { createGuard } from "../telemetry/guard.ts";
 import type { Telemetry } from "../telemetry/telemetry.ts";
 import { loadTracing } from "../telemetry/tracing.ts";
+import { createConnectionDecider } from "./caller_connections.ts";
 import { measureDistances } from "./distance_measurement.ts";
 import { FleetReports } from "./fleet_reports.ts";
 import { HostEndpoints, type LookupResponse } from "./host_endpoints.ts";
 import { HostRegistration } from "./host_registration.ts";
 import { ObjectApplier } from "./object_applier.ts";
+import { openAddresses } from "./open_addresses.ts";
 import { ReleaseRunner } from "./release_runner.ts";
 import { createRequestDependencies } from "./request_dependencies.ts";
 import { RequestHandler } from "./request_handler.ts";
@@ -350,20 +348,14 @@
     isTaskOwner: (task) => fleetReports.isTaskOwner(task),
     requestReport: () => reportExchange.requestReport(),
   });
-  const maxDescriptors = readMaxDescriptors();
-  const connectionLimit = new ConnectionLimit(maxDescriptors);
   const callerServer = createCallerServer(
     (req, res) => handler.handle(req, res),
     {
-      decideConnection(callerConnections) {
-        const openConnections = callerConnections + pool.establishedCount +
-          relayPool.establishedCount;
-        const decision = connectionLimit.decide(openConnections);
-        if (decision !== "accept" && connectionLimit.takeReport(nowMs())) {
-          log.warn("connections_limited", { openConnections, maxDescriptors });
-        }
-        return decision;
-      },
+      decideConnection: createConnectionDecider({
+        pools: [pool, relayPool],
+        log,
+        nowMs,
+      }),
     },
   );
   const endpoints = new HostEndpoints({
@@ -418,25 +410,18 @@
   }
 
   const reloadTimer = setInterval(reload, RELOAD_INTERVAL_MS);
-  const bindOptions = (name: keyof typeof addresses) => ({
-    field: `listen.${name}`,
+  await openAddresses({
+    addresses,
     waitMs: settings.bounds.graceMs + ADDRESS_WAIT_MARGIN_MS,
-    onWait: (reason: string) =>
-      log.warn("address_in_use", { address: addresses[name], name, reason }),
+    log,
+    startReports: (bindOptions) => reportExchange.start(bindOptions),
+    servers: {
+      callers: callerServer,
+      lookups: lookupServer,
+      readiness: readinessServer,
+      peers: peerServer,
+    },
   });
-  const listenOn = (server: Server, name: keyof typeof addresses) =>
-    listen(server, addresses[name], {
-      ...bindOptions(name),
-      onError: (error) =>
-        log.warn("server_failed", { server: name, reason: error.message }),
-    });
-  // In this order, nobody reaches a host that still waits for an address but
-  // other hosts, which learn that it starts. Callers and lookups come last.
-  await reportExchange.start(bindOptions("peers"));
-  await listenOn(peerServer, "peers");
-  await listenOn(readinessServer, "readiness");
-  await listenOn(callerServer, "callers");
-  await listenOn(lookupServer, "lookups");
   let lastTickMs = nowMs();
   const tickTimer = setInterval(() => {
     const atMs = nowMs();
