Take the limit on descriptors from the settings

Hosts refused new connections beyond 136.

Cause: the limit on connections was taken from /proc/self/limits, which states 200 there, the part for files; the platform states 4,100 in the settings.

The settings' limit counts if there is one, else that of the system. descriptor_limit_test before: 503 !== 200.

--- a/src/core/settings/entry_settings.ts
+++ b/src/core/settings/entry_settings.ts
@@ -81,6 +81,11 @@
   firstStart: z.boolean().default(false).describe(
     "Whether all hosts start for the first time, so no quota has been used",
   ),
+  limits: z.object({
+    maxDescriptors: z.number().int().min(1).optional().describe(
+      "Descriptors that the process may have open; default: the limit that the system states",
+    ),
+  }).prefault({}),
   bounds: bounds.prefault({}),
   distance: distance.prefault({}),
   telemetry: z.object({
--- a/src/node/entry/caller_connections.ts
+++ b/src/node/entry/caller_connections.ts
@@ -7,12 +7,13 @@
   type ConnectionDecision,
   ConnectionLimit,
 } from "../../core/limits/connection_limit.ts";
-import { readMaxDescriptors } from "../descriptors.ts";
 import type { ConnectionPool } from "../target/connection_pool.ts";
 import type { Log } from "../telemetry/log.ts";
 
 /** Options of `createConnectionDecider`. */
 export interface ConnectionDeciderOptions {
+  /** Descriptors that the host uses at most. */
+  readonly maxDescriptors: number;
   /** Pools whose connections take descriptors as well. */
   readonly pools: readonly ConnectionPool[];
   readonly log: Log;
@@ -24,9 +25,8 @@
  * connections of callers, with the new one.
  */
 export function createConnectionDecider(
-  { pools, log, nowMs }: ConnectionDeciderOptions,
+  { maxDescriptors, pools, log, nowMs }: ConnectionDeciderOptions,
 ): (callerConnections: number) => ConnectionDecision {
-  const maxDescriptors = readMaxDescriptors();
   const limit = new ConnectionLimit(maxDescriptors);
   return (callerConnections) => {
     const openConnections = pools.reduce(
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -19,6 +19,7 @@
 import type { Locality } from "../../core/types.ts";
 import { BUILD_VERSION } from "../build_version.ts";
 import { monotonicMs } from "../clock.ts";
+import { findMaxDescriptors } from "../descriptors.ts";
 import {
   applyCallerLimits,
   createCallerServer,
@@ -352,6 +353,7 @@
     (req, res) => handler.handle(req, res),
     {
       decideConnection: createConnectionDecider({
+        maxDescriptors: findMaxDescriptors(settings.limits.maxDescriptors),
         pools: [pool, relayPool],
         log,
         nowMs,
