--- a/review/common-2/fleet.ts
+++ b/review/common-2/fleet.ts
@@ -118,6 +118,11 @@
   const seeds = [0, 1, 2].filter((i) => i < hostCount)
     .map((i) => addressOf(4 * i));
   const command = readDeployCommand();
+  const started: ChildProcess[] = [];
+  // Nothing is left, whatever ends the run.
+  process.once("exit", () => {
+    for (const child of started) child.kill("SIGKILL");
+  });
 
   const hosts = Array.from({ length: hostCount }, (_, index): Host => {
     const zone = zoneNames[index % zoneNames.length];
@@ -172,6 +177,7 @@
         },
       );
       host.process = child;
+      started.push(child);
       host.startedMs = performance.now();
       host.exited = new Promise((resolve) =>
         child.once("exit", () => resolve())
--- a/review/common-2/record.ts
+++ b/review/common-2/record.ts
@@ -5,6 +5,9 @@
  */
 import { writeFileSync } from "node:fs";
 
+/** Time after which a run is given up; it may take 120 s. */
+const MAX_RUN_MS = 117_000;
+
 /** Lines of what was sent, answered and run. */
 export class Record {
   readonly #lines: string[] = [];
@@ -41,12 +44,18 @@
   run: (record: Record) => Promise<boolean>,
 ): Promise<never> {
   const record = new Record();
+  for (const signal of ["SIGTERM", "SIGINT"] as const) {
+    process.once(signal, () => process.exit(2));
+  }
   record.note(
     HAS_TROUBLE ? "with the disruption" : "without the disruption (TROUBLE=0)",
   );
   let status = 2;
+  const timedOut = new Promise<never>((_, reject) =>
+    setTimeout(() => reject(new Error("it takes too long")), MAX_RUN_MS)
+  );
   try {
-    status = await run(record) ? 1 : 0;
+    status = await Promise.race([run(record), timedOut]) ? 1 : 0;
     record.note(status === 1 ? "the rule was broken" : "the rule held");
   } catch (error) {
     record.note(`could not run: ${(error as Error).stack}`);
