Log requests that end behind a closing response as cut off by the host

A request whose connection ends after a response with connection: close was logged as caller_left, so the log could not tell a caller that leaves from a host that closes.

--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -79,6 +79,8 @@
   readonly #exchanges = new Map<number, HttpExchange>();
   /** Identifier of the newest request on each connection. */
   readonly #lastIdBySocket = new WeakMap<Socket, number>();
+  /** Connections with a response that closes them. */
+  readonly #closingSockets = new WeakSet<Socket>();
   #nextId = 1;
   #tickTimer: NodeJS.Timeout | undefined;
   #idleCallbacks: (() => void)[] = [];
@@ -340,12 +342,14 @@
    * pipelined requests, as the responses to the others could not be sent.
    */
   #closesConnection({ req, id }: HttpExchange): boolean {
-    return this.#options.closesConnections() &&
+    const closes = this.#options.closesConnections() &&
       this.#lastIdBySocket.get(req.socket) === id;
+    if (closes) this.#closingSockets.add(req.socket);
+    return closes;
   }
 
   #handleClose(exchange: HttpExchange): void {
-    const { id, res, startedMs, routeId } = exchange;
+    const { id, req, res, startedMs, routeId } = exchange;
     const { nowMs, metrics } = this.#options;
     if (!this.#exchanges.delete(id)) return;
     const tookMs = nowMs() - startedMs;
@@ -353,7 +357,8 @@
     else if (!res.writableFinished) {
       exchange.end = "caller_left";
       this.dispatch({ type: "caller_disconnected", requestId: id });
-      this.#reportUnanswered(exchange, "caller");
+      const isClosedByHost = this.#closingSockets.has(req.socket);
+      this.#reportUnanswered(exchange, isClosedByHost ? "host" : "caller");
     }
     exchange.attempt?.abort();
     exchange.body?.dispose();
