Decide whether a response closes its connection when its turn has come

Callers that pipeline requests lost some of them when a host was stopped: the requests were passed on, and their connection ended without a response.

Cause: whether a response closes the connection was decided when the response was ready, by whether its request was the newest one then. The response may still wait for earlier ones. A request that arrived meanwhile was passed on, and Node.js closes the connection after the response with connection: close.

A response is now written, and the decision made, when all earlier responses on the connection are complete. A streamed response that has to wait doesn't close. A request that arrives after a closing head was written isn't handled, which docs/CALLERS.md has promised. The same holds for a streamed response to HTTP/1.0, whose end is the end of the connection.

--- a/src/node/entry/attempt_starter.ts
+++ b/src/node/entry/attempt_starter.ts
@@ -13,7 +13,10 @@
   formatRequestHead,
   type ForwardedRequest,
 } from "../front/headers.ts";
-import { startStreamedResponse } from "../front/response_writer.ts";
+import {
+  endsWithConnection,
+  startStreamedResponse,
+} from "../front/response_writer.ts";
 import type { HeaderNames } from "../header_names.ts";
 import { Attempt } from "../target/attempt.ts";
 import type { ConnectionPool } from "../target/connection_pool.ts";
@@ -38,8 +41,14 @@
   readonly metrics: Metrics;
   readonly tracing: Tracing;
   readonly nowMs: () => number;
-  /** Whether to close the caller's connection after the response. */
-  readonly closesConnection: (exchange: HttpExchange) => boolean;
+  /**
+   * Whether to close the caller's connection after the response, whose head is
+   * written next. `isRequired` is whether only that marks its end.
+   */
+  readonly closesConnection: (
+    exchange: HttpExchange,
+    options: { isRequired: boolean },
+  ) => boolean;
   /** Passes an event to the request pipeline. */
   readonly dispatch: (event: RequestEvent) => void;
   /** Ends a request after an unexpected error in the named work. */
@@ -205,7 +214,9 @@
           protect("response_started", () => {
             dispatch({ type: "response_started", requestId: id });
             startStreamedResponse(exchange.res, head, {
-              closesConnection: closesConnection(exchange),
+              closesConnection: closesConnection(exchange, {
+                isRequired: endsWithConnection(exchange.res, head),
+              }),
             });
           }),
         onStreamData: (chunk) =>
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import type { PipelineDependencies } from "../../core/request/dependencies.ts";
 import {
   createPipelineState,
@@ -16,9 +15,10 @@
   RequestEffect,
   RequestEvent,
 } from "../../core/request/types.ts";
-import { createRefusal } from "../../core/errors.ts";
+import { createRefusal, type Refusal } from "../../core/errors.ts";
 import { ByteBudget } from "../../core/limits/byte_budget.ts";
 import type { Target } from "../../core/targets/types.ts";
+import { getCallerConnection } from "../front/caller_connection.ts";
 import { countHeaderBytes } from "../front/headers.ts";
 import { MAX_ALL_BUFFERED_BYTES, RequestBody } from "../front/request_body.ts";
 import {
@@ -77,10 +77,6 @@
   readonly #state = createPipelineState();
   readonly #bodyMemory = new ByteBudget(MAX_ALL_BUFFERED_BYTES);
   readonly #exchanges = new Map<number, HttpExchange>();
-  /** Identifier of the newest request on each connection. */
-  readonly #lastIdBySocket = new WeakMap<Socket, number>();
-  /** Connections with a response that closes them. */
-  readonly #closingSockets = new WeakSet<Socket>();
   #nextId = 1;
   #tickTimer: NodeJS.Timeout | undefined;
   #idleCallbacks: (() => void)[] = [];
@@ -89,7 +85,8 @@
     this.#options = options;
     this.#attempts = new AttemptStarter({
       ...options,
-      closesConnection: (exchange) => this.#closesConnection(exchange),
+      closesConnection: (exchange, closeOptions) =>
+        this.#closesConnection(exchange, closeOptions),
       dispatch: (event) => this.dispatch(event),
       failRequest: (requestId, work, error) => {
         logUnexpectedError(options.log, work, error);
@@ -149,8 +146,9 @@
       routeId: "",
       end: "",
     };
+    const connection = getCallerConnection(req.socket);
+    if (!connection.add(res)) return void req.resume();
     this.#exchanges.set(id, exchange);
-    this.#lastIdBySocket.set(req.socket, id);
     this.#tickTimer ??= setInterval(
       () => this.dispatch({ type: "tick" }),
       TICK_INTERVAL_MS,
@@ -203,7 +201,7 @@
 
   /** Ends a request whose handling failed. It may have run. */
   #fail(requestId: number): void {
-    const { metrics, dependencies, headerNames, log, nowMs } = this.#options;
+    const { metrics, dependencies, log, nowMs } = this.#options;
     const exchange = this.#exchanges.get(requestId);
     try {
       const event = { type: "request_failed", requestId } as const;
@@ -218,21 +216,32 @@
     exchange.attempt = undefined;
     exchange.end = "internal";
     metrics.refusals.inc({ kind: "internal" });
-    const { res, callerRequestId } = exchange;
+    const { res } = exchange;
     if (res.headersSent) {
       exchange.end = "broken";
       return void res.destroy();
     }
     exchange.body?.dispose();
-    try {
-      writeRefusal(res, createRefusal("internal", dependencies.random), {
-        ...this.#responseOptions(exchange),
-        extraHeaders: { [headerNames.requestId]: callerRequestId },
-      });
-    } catch (error) {
-      logUnexpectedError(log, "refusal", error);
-      res.destroy();
-    }
+    this.#writeRefusal(
+      exchange,
+      createRefusal("internal", dependencies.random),
+    );
+  }
+
+  #writeRefusal(exchange: HttpExchange, refusal: Refusal): void {
+    const { headerNames, log } = this.#options;
+    const { res, callerRequestId } = exchange;
+    whenNext(res, () => {
+      try {
+        writeRefusal(res, refusal, {
+          closesConnection: this.#closesConnection(exchange),
+          extraHeaders: { [headerNames.requestId]: callerRequestId },
+        });
+      } catch (error) {
+        logUnexpectedError(log, "refusal", error);
+        res.destroy();
+      }
+    });
   }
 
   #createIncomingRequest(
@@ -300,18 +309,24 @@
 
   #deliver(exchange: HttpExchange): void {
     const { result, res } = exchange;
+    const response = result?.response;
     exchange.end = "answered";
-    if (result?.response === undefined) res.end();
-    else {writeBufferedResponse(
-        res,
-        result.response,
-        this.#responseOptions(exchange),
-      );}
+    if (response === undefined) return void res.end();
+    whenNext(res, () => {
+      try {
+        writeBufferedResponse(res, response, {
+          closesConnection: this.#closesConnection(exchange),
+        });
+      } catch (error) {
+        logUnexpectedError(this.#options.log, "response", error);
+        this.#fail(exchange.id);
+      }
+    });
   }
 
   #refuse({ refusal, context }: RefuseEffect, exchange: HttpExchange): void {
     const { res, req, callerRequestId, body } = exchange;
-    const { log, metrics, dependencies, headerNames } = this.#options;
+    const { log, metrics, dependencies } = this.#options;
     exchange.end = refusal.kind;
     exchange.routeId = context.routeId;
     metrics.refusals.inc({ kind: refusal.kind });
@@ -327,25 +342,18 @@
     }, true);
     if (res.headersSent || res.destroyed) return;
     body?.dispose();
-    writeRefusal(res, refusal, {
-      ...this.#responseOptions(exchange),
-      extraHeaders: { [headerNames.requestId]: callerRequestId },
-    });
-  }
-
-  #responseOptions(exchange: HttpExchange) {
-    return { closesConnection: this.#closesConnection(exchange) };
+    this.#writeRefusal(exchange, refusal);
   }
 
-  /**
-   * Whether to close the connection after a response: not before the last of the
-   * pipelined requests, as the responses to the others could not be sent.
-   */
-  #closesConnection({ req, id }: HttpExchange): boolean {
-    const closes = this.#options.closesConnections() &&
-      this.#lastIdBySocket.get(req.socket) === id;
-    if (closes) this.#closingSockets.add(req.socket);
-    return closes;
+  /** Whether to close the connection after a response that is written next. */
+  #closesConnection(
+    { req, res }: HttpExchange,
+    { isRequired = false }: { isRequired?: boolean } = {},
+  ): boolean {
+    return getCallerConnection(req.socket).closesAfter(res, {
+      isWanted: this.#options.closesConnections(),
+      isRequired,
+    });
   }
 
   #handleClose(exchange: HttpExchange): void {
@@ -357,8 +365,8 @@
     else if (!res.writableFinished) {
       exchange.end = "caller_left";
       this.dispatch({ type: "caller_disconnected", requestId: id });
-      const isClosedByHost = this.#closingSockets.has(req.socket);
-      this.#reportUnanswered(exchange, isClosedByHost ? "host" : "caller");
+      const { isEndedByHost } = getCallerConnection(req.socket);
+      this.#reportUnanswered(exchange, isEndedByHost ? "host" : "caller");
     }
     exchange.attempt?.abort();
     exchange.body?.dispose();
@@ -393,3 +401,15 @@
     }
   }
 }
+
+/**
+ * Calls `write` when a response is the next on its connection: at once, or when
+ * the responses to earlier requests are complete.
+ */
+function whenNext(res: ServerResponse, write: () => void): void {
+  if (res.socket !== null) return write();
+  res.once("socket", () =>
+    process.nextTick(() => {
+      if (!res.destroyed) write();
+    }));
+}
--- a/src/node/front/response_writer.ts
+++ b/src/node/front/response_writer.ts
@@ -42,14 +42,22 @@
 ): void {
   const headers = filterResponseHeaders(head.rawHeaders);
   const length = findContentLength(head);
-  // A caller of HTTP/1.0 cannot read chunks; the end of the connection marks the
-  // end of its body.
-  const isChunkable = res.req.httpVersion !== "1.0";
   if (length !== undefined) headers.push("content-length", length);
-  else if (isChunkable) headers.push("transfer-encoding", "chunked");
-  const closesConnection = options.closesConnection ||
-    (length === undefined && !isChunkable);
-  writeHead(res, head, headers, { closesConnection });
+  else if (!endsWithConnection(res, head)) {
+    headers.push("transfer-encoding", "chunked");
+  }
+  writeHead(res, head, headers, options);
+}
+
+/**
+ * Whether the end of the connection marks the end of a streamed response, as a
+ * caller of HTTP/1.0 cannot read chunks.
+ */
+export function endsWithConnection(
+  { req }: ServerResponse,
+  head: ResponseHead,
+): boolean {
+  return findContentLength(head) === undefined && req.httpVersion === "1.0";
 }
 
 /** Writes a refusal, with its details as JSON. */
