Refuse what can't be read after the responses to earlier requests

A caller that pipelines lost requests in progress, which had been passed on, whenever something behind them could not be read: Node.js wrote its refusal as the response to the first of them, or closed the connection at once.

Cause: the handling of bytes that are no request (malformed, a head that is too large or too slow, a malformed body) was left to Node.js; CONNECT, a head that exceeds the memory for heads, and a refused body without end closed the connection without regard to earlier requests.

CallerConnection now sends the refusal when all earlier responses are complete and closes then. A request whose own body is malformed is cancelled. Refused heads are kept for the responses before them up to half of the memory for heads; connections beyond that are closed at once, as before. A head that takes too long is now refused with the error kind request_timeout (408). The server for relays refuses malformed bytes in the same way.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -22,8 +22,8 @@
 }
 
 /**
- * The response for each error kind. Status 429 or 503 guarantees that the
- * request has not run and will not run later.
+ * The response for each error kind. Status 408, 429 or 503 guarantees that
+ * the request has not run and will not run later.
  */
 export const ERROR_RESPONSES = {
   bad_request: {
@@ -38,6 +38,12 @@
     retryAfterMs: 0,
     message: "The method is not supported. Use another one.",
   },
+  request_timeout: {
+    status: 408,
+    ran: "no",
+    retryAfterMs: 0,
+    message: "The request headers took too long to arrive. Send them again.",
+  },
   header_too_large: {
     status: 431,
     ran: "no",
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -147,7 +147,12 @@
       end: "",
     };
     const connection = getCallerConnection(req.socket);
-    if (!connection.add(res)) return void req.resume();
+    const isHandled = connection.add(
+      req,
+      res,
+      () => this.#handleClose(exchange),
+    );
+    if (!isHandled) return void req.resume();
     this.#exchanges.set(id, exchange);
     this.#tickTimer ??= setInterval(
       () => this.dispatch({ type: "tick" }),
@@ -176,6 +181,7 @@
         this.dispatch({ type: "body_too_large", requestId: id }),
       onMemoryFull: () =>
         this.dispatch({ type: "body_memory_full", requestId: id }),
+      onReadingEnded: () => connection.closeAfterResponses(),
       memory: this.#bodyMemory,
     });
     exchange.body = body;
--- a/src/node/front/caller_connection.ts
+++ b/src/node/front/caller_connection.ts
@@ -4,14 +4,18 @@
  *
  * @module
  */
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { PipelinedRequests } from "../../core/connection/pipelined_requests.ts";
+import type { ErrorKind } from "../../core/errors.ts";
+import { formatRawRefusal } from "./raw_refusal.ts";
 
 /** A request on a connection. */
 interface NumberedRequest {
   /** Number of the request on its connection. */
   readonly number: number;
+  readonly req: IncomingMessage;
+  readonly cancel: () => void;
 }
 
 const connections = new WeakMap<Socket, CallerConnection>();
@@ -26,16 +30,43 @@
   return connection;
 }
 
+/** Error kinds by the code of Node.js for bytes that are no request. */
+const KINDS_BY_CODE: Readonly<Record<string, ErrorKind>> = {
+  HPE_HEADER_OVERFLOW: "header_too_large",
+  ERR_HTTP_REQUEST_TIMEOUT: "request_timeout",
+};
+
+/**
+ * Refuses bytes that are no request, and heads that take too long, after the
+ * responses to the requests before them. Node.js closes the connection at once
+ * otherwise, or sends the refusal as the response to an earlier request.
+ */
+export function refuseMalformedRequests(server: Server): void {
+  server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+    const { code = "" } = error;
+    // The caller sends more after a request that closes the connection.
+    if (code === "HPE_CLOSED_CONNECTION") return;
+    const kind = code.startsWith("HPE_") ? "bad_request" : undefined;
+    const refusalKind = KINDS_BY_CODE[code] ?? kind;
+    if (refusalKind === undefined) return void socket.destroy();
+    getCallerConnection(socket).refuseRest(refusalKind);
+  });
+}
+
 /** A connection of a caller, or of a host that relays requests. */
 export class CallerConnection {
+  readonly #socket: Socket;
   readonly #requests = new PipelinedRequests();
   readonly #numbers = new WeakMap<ServerResponse, number>();
   #newest: NumberedRequest | undefined;
+  /** Called when no response is outstanding any more. */
+  #onIdle: (() => void) | undefined;
   #isEndedByHost = false;
 
   constructor(socket: Socket) {
-    const { destroySoon } = socket;
+    this.#socket = socket;
     // Node.js calls this after a response that closes the connection.
+    const { destroySoon } = socket;
     socket.destroySoon = () => {
       this.#isEndedByHost = true;
       destroySoon.call(socket);
@@ -51,14 +82,21 @@
    * Adds a request; further calls for the same request have no effect. Returns
    * false if it must not be handled, as it comes behind a response that closes
    * the connection.
+   *
+   * @param cancel Called when the rest of the request cannot be read, which then
+   * gets no response of its own.
    */
-  add(res: ServerResponse): boolean {
+  add(
+    req: IncomingMessage,
+    res: ServerResponse,
+    cancel: () => void = () => {},
+  ): boolean {
     const knownNumber = this.#numbers.get(res);
     if (knownNumber !== undefined) return this.#requests.has(knownNumber);
     const number = 1 + (this.#newest?.number ?? 0);
     if (!this.#requests.add(number)) return false;
     this.#numbers.set(res, number);
-    this.#newest = { number };
+    this.#newest = { number, req, cancel };
     res.once("close", () => this.#remove(number));
     return true;
   }
@@ -75,7 +113,51 @@
     });
   }
 
+  /**
+   * Refuses what follows the requests that have arrived, and closes the
+   * connection. The refusal is sent after the responses to these requests.
+   */
+  refuseRest(kind: ErrorKind): void {
+    if (this.#requests.isClosing) return;
+    const newest = this.#newest;
+    const isWithinRequest = newest !== undefined && !newest.req.complete;
+    if (isWithinRequest && !this.#requests.has(newest.number)) {
+      // The request was answered before its body was complete.
+      return this.closeAfterResponses();
+    }
+    this.#closeWhenIdle(() =>
+      this.#socket.write(formatRawRefusal(kind, Math.random))
+    );
+    if (isWithinRequest) {
+      newest.cancel();
+      this.#remove(newest.number);
+    }
+    this.#runIfIdle();
+  }
+
+  /** Closes the connection after the responses to all requests so far. */
+  closeAfterResponses(): void {
+    if (this.#requests.isClosing) return;
+    this.#closeWhenIdle(() => {});
+    this.#runIfIdle();
+  }
+
   #remove(number: number): void {
     this.#requests.remove(number);
+    this.#runIfIdle();
+  }
+
+  #closeWhenIdle(writeLast: () => void): void {
+    this.#requests.stopReading();
+    this.#onIdle = () => {
+      if (this.#socket.writable) writeLast();
+      this.#socket.destroySoon();
+    };
+  }
+
+  #runIfIdle(): void {
+    if (!this.#requests.isIdle) return;
+    this.#onIdle?.();
+    this.#onIdle = undefined;
   }
 }
--- a/src/node/front/caller_server.ts
+++ b/src/node/front/caller_server.ts
@@ -7,8 +7,11 @@
 import type { Socket } from "node:net";
 import { createRefusal } from "../../core/errors.ts";
 import type { ConnectionDecision } from "../../core/limits/connection_limit.ts";
+import {
+  getCallerConnection,
+  refuseMalformedRequests,
+} from "./caller_connection.ts";
 import { limitHeadMemory } from "./head_memory.ts";
-import { writeRawRefusal } from "./raw_refusal.ts";
 import { writeRefusal } from "./response_writer.ts";
 
 /** Idle time of a connection until a document sets it. */
@@ -95,10 +98,12 @@
     socket.once("close", () => clearTimeout(timer));
   });
   // Node.js closes the connection of this method without a response otherwise.
-  server.on(
-    "connect",
-    (_req, socket) => writeRawRefusal(socket, "method_unsupported"),
-  );
+  server.on("connect", (_req, socket: Socket) => {
+    socket.on("error", () => {});
+    socket.resume();
+    getCallerConnection(socket).refuseRest("method_unsupported");
+  });
+  refuseMalformedRequests(server);
   limitHeadMemory(server, {
     maxHeadBytes: MAX_HEADER_BYTES,
     onRefused: (socket) => refusedSockets.add(socket),
--- a/src/node/front/head_memory.ts
+++ b/src/node/front/head_memory.ts
@@ -6,15 +6,20 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { chooseHeadsToRefuse } from "../../core/limits/head_memory.ts";
+import { getCallerConnection } from "./caller_connection.ts";
 import { countHeaderBytes } from "./headers.ts";
 import { hasBody } from "./request_body.ts";
-import { writeRawRefusal } from "./raw_refusal.ts";
 
 /**
  * Received bytes of all unfinished heads together. The parser keeps them as
  * strings on the heap, which is limited to 120 MB on small hosts.
  */
 const MAX_UNFINISHED_BYTES = 33_554_432;
+/**
+ * Bytes of refused heads that are kept for the responses before them, as a
+ * fraction of the limit. Connections beyond it are closed at once.
+ */
+const REFUSED_FRACTION = 0.5;
 /** Time between two checks; a link of 1 Gbit/s carries 6 MB in it. */
 const CHECK_INTERVAL_MS = 50;
 
@@ -26,8 +31,8 @@
   consumedBytes: number;
   /** Requests whose bodies are being received; they do not count as heads. */
   unfinishedBodies: number;
-  /** Requests without a complete response. */
-  requestsInProgress: number;
+  /** Whether the head was refused; it is kept until the connection closes. */
+  isRefused: boolean;
 }
 
 /**
@@ -54,7 +59,7 @@
     connections.set(socket, {
       consumedBytes: 0,
       unfinishedBodies: 0,
-      requestsInProgress: 0,
+      isRefused: false,
     });
     socket.once("close", () => connections.delete(socket));
     // Few connections cannot exceed the limit and need no timer.
@@ -63,10 +68,9 @@
   // A caller may send the next head before it has the response to the last one.
   server.on("request", (req: IncomingMessage, res: ServerResponse) => {
     const { socket } = req;
+    getCallerConnection(socket).add(req, res);
     const progress = connections.get(socket);
     if (progress === undefined) return;
-    progress.requestsInProgress += 1;
-    res.once("close", () => progress.requestsInProgress -= 1);
     if (!hasBody(req)) {
       progress.consumedBytes = findHeadEnd(req, progress.consumedBytes);
       return;
@@ -85,22 +89,28 @@
     if (!mayExceedLimit()) return stopChecks();
     const heads = [...connections]
       .filter(([, { unfinishedBodies }]) => unfinishedBodies === 0)
-      .map(([socket, { consumedBytes, requestsInProgress }]) => ({
+      .map(([socket, progress]) => ({
         socket,
-        requestsInProgress,
-        bytes: socket.bytesRead - consumedBytes,
+        progress,
+        bytes: socket.bytesRead - progress.consumedBytes,
       }));
+    // The parser keeps a refused head until the responses before it were sent.
+    const refused = heads.filter(({ progress }) => progress.isRefused);
+    const maxRefusedBytes = maxUnfinishedBytes * REFUSED_FRACTION;
+    for (const { socket } of chooseHeadsToRefuse(refused, maxRefusedBytes)) {
+      socket.destroy();
+    }
+    const awaited = heads.filter(({ progress }) => !progress.isRefused);
     for (
-      const { socket, requestsInProgress } of chooseHeadsToRefuse(
-        heads,
+      const { socket, progress } of chooseHeadsToRefuse(
+        awaited,
         maxUnfinishedBytes,
       )
     ) {
-      connections.delete(socket);
+      progress.isRefused = true;
       onRefused(socket);
-      // A refusal would be taken for the response to the request before.
-      if (requestsInProgress > 0) socket.destroy();
-      else writeRawRefusal(socket, "host_full");
+      socket.pause();
+      getCallerConnection(socket).refuseRest("host_full");
     }
   }
 
--- a/src/node/front/head_memory_test.ts
+++ b/src/node/front/head_memory_test.ts
@@ -1,6 +1,10 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { createServer, type RequestListener } from "node:http";
+import {
+  createServer,
+  type RequestListener,
+  type ServerResponse,
+} from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { test, type TestContext } from "node:test";
 import { limitHeadMemory } from "./head_memory.ts";
@@ -84,3 +88,48 @@
   assert.equal(received.match(/HTTP\/1\.1 /g)?.length, 1);
   assert.match(received, /^HTTP\/1\.1 200 /);
 });
+
+// Guards against requests in progress that are cut off to free the memory of an
+// unfinished head behind them, as long as the refused heads fit into the limit.
+test("a request before a refused head is answered first", async (t) => {
+  const responses: ServerResponse[] = [];
+  const server = createServer(
+    { maxHeaderSize: MAX_HEAD_BYTES },
+    (_req, res) => {
+      responses.push(res);
+    },
+  );
+  limitHeadMemory(server, {
+    maxHeadBytes: MAX_HEAD_BYTES,
+    maxUnfinishedBytes: MAX_UNFINISHED_BYTES,
+    onRefused() {},
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const head = "GET / HTTP/1.1\r\nHost: a\r\n";
+  const received = ["", "", ""];
+  const sockets = received.map((_, i) => {
+    const socket = connect(port, "127.0.0.1");
+    socket.on("error", () => {});
+    socket.on("data", (bytes) => received[i] += bytes.toString("latin1"));
+    // All heads together exceed the limit, and the last is the largest.
+    socket.write(`${head}\r\n`);
+    setTimeout(
+      () => socket.write(head + LINES.slice(0, 23_000 + 1_000 * i)),
+      OBSERVATION_MS / 2,
+    );
+    return socket;
+  });
+  t.after(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  await new Promise((done) => setTimeout(done, 2 * OBSERVATION_MS));
+  for (const res of responses) res.end("answer");
+  await new Promise((done) => setTimeout(done, OBSERVATION_MS));
+  const [first, second, largest] = received;
+  assert.match(first, /^HTTP\/1\.1 200 .*answer$/s);
+  assert.match(second, /^HTTP\/1\.1 200 .*answer$/s);
+  assert.match(largest, /^HTTP\/1\.1 200 .*answer.*"host_full"/s);
+});
--- a/src/node/front/request_body.ts
+++ b/src/node/front/request_body.ts
@@ -30,13 +30,6 @@
  * caller that is still sending can read the refusal.
  */
 const MAX_DISCARDED_BYTES = 1_048_576;
-/**
- * Time from the last byte that is read of such a body to the close of its
- * connection. A close at once would take the refusal from a caller that has not
- * read it yet.
- */
-const REFUSED_LINGER_MS = 1_000;
-
 /** Receives the progress of a body. */
 export interface BodyListener {
   /** The body is complete, or its buffered part has reached the limit. */
@@ -45,6 +38,8 @@
   onTooLarge(): void;
   /** The bodies of all requests reach the limit of their memory. */
   onMemoryFull(): void;
+  /** The rest of a refused body is not read, so the connection has to close. */
+  onReadingEnded(): void;
 }
 
 /** Options of a `RequestBody`. */
@@ -180,7 +175,8 @@
     this.#receivedBytes += chunk.length;
     if (this.#receivedBytes > this.#maxBytes) {
       if (this.#receivedBytes > this.#maxBytes + MAX_DISCARDED_BYTES) {
-        return this.#closeAfterLinger();
+        this.#req.pause();
+        return this.#listener.onReadingEnded();
       }
       if (this.#isDisposed) return;
       this.#listener.onTooLarge();
@@ -201,12 +197,6 @@
     this.#listener.onReady();
   }
 
-  #closeAfterLinger(): void {
-    this.#req.pause();
-    const timer = setTimeout(() => this.#req.destroy(), REFUSED_LINGER_MS);
-    this.#req.once("close", () => clearTimeout(timer));
-  }
-
   /** Takes the memory for the bytes received so far. */
   #takeMemory(): boolean {
     const bytes = this.#receivedBytes - UNCOUNTED_BYTES - this.#heldBytes;
--- a/src/node/peer/peer_service.ts
+++ b/src/node/peer/peer_service.ts
@@ -16,6 +16,7 @@
   OBJECT_KINDS,
   type ObjectKind,
 } from "../../core/store/types.ts";
+import { refuseMalformedRequests } from "../front/caller_connection.ts";
 import { FORWARDING_SERVER_OPTIONS } from "../front/caller_server.ts";
 import { RELAYED_ATTEMPTS_HEADER } from "../front/headers.ts";
 import { createPeerListener, fetchObjects } from "./peer_calls.ts";
@@ -42,7 +43,7 @@
  */
 export function createPeerServer(handlers: PeerHandlers): Server {
   const handleCall = createPeerListener(handlers);
-  return createServer({ ...FORWARDING_SERVER_OPTIONS }, (req, res) => {
+  const server = createServer({ ...FORWARDING_SERVER_OPTIONS }, (req, res) => {
     const attempts = req.headers[RELAYED_ATTEMPTS_HEADER];
     if (attempts !== undefined) {
       const relayedAttempts = Math.max(1, Number(attempts) || 1);
@@ -50,6 +51,8 @@
     }
     handleCall(req, res);
   });
+  refuseMalformedRequests(server);
+  return server;
 }
 
 /**
