Read on for a second after a closing response

A caller that still sends when the host closes its connection could get a part of the closing response only: a close with unread bytes resets the connection, and what the kernel has not sent yet is lost.

After a closing response the host now ends its side, reads on, and closes when the caller has closed or after 1 s (RFC 9112, section 9.6).

--- a/src/node/front/caller_connection.ts
+++ b/src/node/front/caller_connection.ts
@@ -10,6 +10,13 @@
 import type { ErrorKind } from "../../core/errors.ts";
 import { formatRawRefusal } from "./raw_refusal.ts";
 
+/**
+ * Time from the last byte of a closing response to the close of the connection,
+ * for a caller that still sends. A close with unread bytes resets the connection
+ * and may take the response from the caller.
+ */
+const LINGER_MS = 1_000;
+
 /** A request on a connection. */
 interface NumberedRequest {
   /** Number of the request on its connection. */
@@ -61,21 +68,17 @@
   #newest: NumberedRequest | undefined;
   /** Called when no response is outstanding any more. */
   #onIdle: (() => void) | undefined;
-  #isEndedByHost = false;
+  #isLingering = false;
 
   constructor(socket: Socket) {
     this.#socket = socket;
     // Node.js calls this after a response that closes the connection.
-    const { destroySoon } = socket;
-    socket.destroySoon = () => {
-      this.#isEndedByHost = true;
-      destroySoon.call(socket);
-    };
+    socket.destroySoon = () => this.#closeAfterLinger();
   }
 
   /** Whether the host has closed its side of the connection. */
   get isEndedByHost(): boolean {
-    return this.#isEndedByHost;
+    return this.#isLingering;
   }
 
   /**
@@ -151,7 +154,7 @@
     this.#requests.stopReading();
     this.#onIdle = () => {
       if (this.#socket.writable) writeLast();
-      this.#socket.destroySoon();
+      this.#closeAfterLinger();
     };
   }
 
@@ -160,4 +163,16 @@
     this.#onIdle?.();
     this.#onIdle = undefined;
   }
+
+  /** Ends the own side and waits for the end of the caller's side. */
+  #closeAfterLinger(): void {
+    const socket = this.#socket;
+    if (this.#isLingering || socket.destroyed) return;
+    this.#isLingering = true;
+    socket.end(() => {
+      if (socket.destroyed) return;
+      const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+      socket.once("close", () => clearTimeout(timer));
+    });
+  }
 }
--- a/src/node/front/caller_connection_test.ts
+++ b/src/node/front/caller_connection_test.ts
@@ -1,3 +1,4 @@
+import assert from "node:assert/strict";
 import { once } from "node:events";
 import type { Server, ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
@@ -11,6 +12,7 @@
 
 const HEAD = "GET / HTTP/1.1\r\nHost: a\r\n";
 const MAX_HEADER_BYTES = 16_384;
+const LARGE_BODY = "x".repeat(8_000_000);
 
 /**
  * Opens a connection to a server that answers the first request when it is told
@@ -90,3 +92,34 @@
   }
   matchSnapshot(t, results);
 });
+
+// Guards against a reset that takes a part of a closing response from a caller
+// that has sent further requests.
+test("a caller that still sends gets the whole closing response", async (t) => {
+  const { socket, responses } = await openConnection(t);
+  socket.write(`${HEAD}\r\n`);
+  await waitFor(() => responses.length === 1);
+  socket.pause();
+  const [res] = responses;
+  const isWanted = true;
+  const isRequired = false;
+  const { req } = res;
+  assert.ok(
+    getCallerConnection(req.socket).closesAfter(res, { isWanted, isRequired }),
+  );
+  res.writeHead(200, { connection: "close" });
+  res.end(LARGE_BODY);
+  const sending = setInterval(() => socket.write(`${HEAD}\r\n`), 5);
+  t.after(() => clearInterval(sending));
+  // Reads slowly, so that the response is still on its way when it was written.
+  let receivedBytes = 0;
+  socket.on("data", (chunk) => {
+    receivedBytes += chunk.length;
+    socket.pause();
+    setTimeout(() => socket.resume(), 1);
+  });
+  socket.resume();
+  await once(socket, "end");
+  assert.ok(receivedBytes > LARGE_BODY.length, `${receivedBytes} bytes`);
+  assert.equal(responses.length, 1, "requests behind the response are dropped");
+});
