Find a route in time that grows with the length of the path

The table now looks up only prefixes of the lengths that routes of the host have. A document's prefixes bound the work.

--- a/src/core/document/route_table.ts
+++ b/src/core/document/route_table.ts
@@ -5,19 +5,31 @@
  */
 import type { Route } from "./document.ts";
 
+/** Routes of one host name. */
+interface HostRoutes {
+  readonly byPrefix: Map<string, Route>;
+  /** Lengths of the prefixes, the longest first. */
+  prefixLengths: readonly number[];
+}
+
 /** Index of the routes of one document. */
 export class RouteTable {
-  #byHost = new Map<string, Map<string, Route>>();
+  #byHost = new Map<string, HostRoutes>();
 
   constructor(routes: readonly Route[]) {
     for (const route of routes) {
       const host = route.host.toLowerCase();
-      let prefixes = this.#byHost.get(host);
-      if (prefixes === undefined) {
-        prefixes = new Map();
-        this.#byHost.set(host, prefixes);
+      let routesOfHost = this.#byHost.get(host);
+      if (routesOfHost === undefined) {
+        routesOfHost = { byPrefix: new Map(), prefixLengths: [] };
+        this.#byHost.set(host, routesOfHost);
       }
-      prefixes.set(route.pathPrefix, route);
+      routesOfHost.byPrefix.set(route.pathPrefix, route);
+    }
+    for (const routesOfHost of this.#byHost.values()) {
+      const lengths = [...routesOfHost.byPrefix.keys()]
+        .map((prefix) => prefix.length);
+      routesOfHost.prefixLengths = [...new Set(lengths)].sort((a, b) => b - a);
     }
   }
 
@@ -29,17 +41,17 @@
    */
   findRoute(host: string, path: string): Route | undefined {
     const hostName = host.toLowerCase();
-    const prefixes = this.#byHost.get(hostName) ??
+    const routesOfHost = this.#byHost.get(hostName) ??
       this.#byHost.get(hostName.replace(/:\d+$/, ""));
-    if (prefixes === undefined) return undefined;
+    if (routesOfHost === undefined) return undefined;
+    const { byPrefix, prefixLengths } = routesOfHost;
     const queryStart = path.indexOf("?");
     const pathEnd = queryStart < 0 ? path.length : queryStart;
-    for (
-      let slash = path.lastIndexOf("/", pathEnd - 1);
-      slash >= 0;
-      slash = slash === 0 ? -1 : path.lastIndexOf("/", slash - 1)
-    ) {
-      const route = prefixes.get(path.slice(0, slash + 1));
+    // A look-up of each prefix of the path would take time with the square of its
+    // length, which the caller chooses.
+    for (const length of prefixLengths) {
+      if (length > pathEnd || path[length - 1] !== "/") continue;
+      const route = byPrefix.get(path.slice(0, length));
       if (route !== undefined) return route;
     }
     return undefined;
--- a/src/core/document/route_table_test.ts
+++ b/src/core/document/route_table_test.ts
@@ -5,6 +5,7 @@
   sampleRoute,
   sampleService,
 } from "../../testing/samples.ts";
+import { MAX_LINEAR_GROWTH, measureGrowth } from "../../testing/growth.ts";
 import { findProblems } from "./document.ts";
 import { RouteTable } from "./route_table.ts";
 
@@ -59,3 +60,15 @@
   }));
   assert.equal(problems.length, 3);
 });
+
+// Guards against a path of many slashes that keeps a host busy for a time that
+// grows with the square of its length.
+test("the time to find a route grows with the length of the path", () => {
+  const growth = measureGrowth((length) => {
+    const path = "/".repeat(length);
+    return () => {
+      for (let i = 0; i < 20; i++) routeTable.findRoute("other.example", path);
+    };
+  }, 1_000);
+  assert.ok(growth < MAX_LINEAR_GROWTH, `${growth}`);
+});
