Keep the targets of a service without a copy for each change

A list of the store with n targets of a service cost n * n steps, as the list of the service was copied with each target that was added or removed. The list is now made when it is read after a change.

--- a/src/core/targets/target_table.ts
+++ b/src/core/targets/target_table.ts
@@ -84,10 +84,20 @@
   readonly start: { readonly atMs: number };
 }
 
+/** Targets of a service. */
+interface ServiceTargets {
+  readonly states: Set<TargetState>;
+  /**
+   * The same as a list; `undefined` after a change. A list that is copied with
+   * each change would take time with the square of the number of targets.
+   */
+  list: readonly TargetState[] | undefined;
+}
+
 /** Registered targets by identifier and by service. */
 export class TargetTable {
   #byId = new Map<string, TargetState>();
-  #byService = new Map<string, TargetState[]>();
+  #byService = new Map<string, ServiceTargets>();
   readonly #leaving = new LeavingTargets();
   readonly #returnSpread: () => number;
 
@@ -103,7 +113,9 @@
 
   /** Returns the targets of a service, including draining ones. */
   ofService(service: string): readonly TargetState[] {
-    return this.#byService.get(service) ?? [];
+    const targets = this.#byService.get(service);
+    if (targets === undefined) return [];
+    return targets.list ??= [...targets.states];
   }
 
   get(id: string): TargetState | undefined {
@@ -134,7 +146,13 @@
     }
     this.#byId.set(registration.id, state);
     const { service } = registration;
-    this.#byService.set(service, [...this.ofService(service), state]);
+    let targets = this.#byService.get(service);
+    if (targets === undefined) {
+      targets = { states: new Set(), list: undefined };
+      this.#byService.set(service, targets);
+    }
+    targets.states.add(state);
+    targets.list = undefined;
   }
 
   /** Removes a target. Its in-flight attempts are not aborted. */
@@ -143,11 +161,11 @@
     if (state === undefined) return;
     this.#byId.delete(id);
     const { service } = state.target;
-    const remaining = this.ofService(service).filter((other) =>
-      other !== state
-    );
-    if (remaining.length === 0) this.#byService.delete(service);
-    else this.#byService.set(service, remaining);
+    const targets = this.#byService.get(service);
+    if (targets === undefined) return;
+    targets.states.delete(state);
+    targets.list = undefined;
+    if (targets.states.size === 0) this.#byService.delete(service);
   }
 
   /** Forgets connection failures, as this host could not reach any target. */
--- a/src/core/targets/target_table_test.ts
+++ b/src/core/targets/target_table_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { MAX_LINEAR_GROWTH, measureGrowth } from "../../testing/growth.ts";
 import { sampleRegistration } from "../../testing/samples.ts";
 import { TargetTable } from "./target_table.ts";
 import type { AttemptEnd } from "./types.ts";
@@ -46,3 +47,21 @@
   assert.equal(state.health.isEjected(500), false);
   assert.equal(state.health.failureFraction(500), 0);
 });
+
+// Guards against a list of the store that keeps a host busy for a time that grows
+// with the square of the number of a service's targets.
+test("the time to add and remove targets grows with their number", () => {
+  const growth = measureGrowth((count) => {
+    const registrations = Array.from(
+      { length: count },
+      (_, i) => sampleRegistration({ id: `target-${i}` }),
+    );
+    return () => {
+      const targets = new TargetTable();
+      for (const registration of registrations) targets.put(registration, 0);
+      for (const { id } of registrations) targets.remove(id);
+      assert.equal(targets.ofService("stockdesk").length, 0);
+    };
+  }, 2_500);
+  assert.ok(growth < MAX_LINEAR_GROWTH, `${growth}`);
+});
