Attribute a crash in time that grows with the number of requests

Each attempt that broke copied the list of earlier ones on its target, and a crash searched a list for each request in flight. Both took time with the square of the number of requests.

Evidence: the new test breaks 600 and 9,600 attempts on each of two targets; the ratio of the times was 1,040 and is below 64 now.

--- a/src/core/crashes/crash_attribution.ts
+++ b/src/core/crashes/crash_attribution.ts
@@ -102,9 +102,15 @@
     if (nowMs - crashedMs <= LATE_BREAK_MS) {
       return this.#attributeCrash(targetId, [attempt], nowMs);
     }
-    const brokenAttempts = (target?.brokenAttempts ?? []).filter((
-      { brokenMs },
-    ) => nowMs - brokenMs <= CRASH_WINDOW_MS);
+    const brokenAttempts = target?.brokenAttempts ?? [];
+    const firstRecent = brokenAttempts.findIndex(({ brokenMs }) =>
+      nowMs - brokenMs <= CRASH_WINDOW_MS
+    );
+    // A copy with each attempt would take time with the square of their number.
+    brokenAttempts.splice(
+      0,
+      firstRecent < 0 ? brokenAttempts.length : firstRecent,
+    );
     brokenAttempts.push(attempt);
     this.#targets.set(targetId, { brokenAttempts, crashedMs: undefined });
     return NO_VERDICT;
@@ -153,8 +159,9 @@
     const suspectedElsewhere = inFlight.filter((fingerprint) =>
       this.#isSuspectedElsewhere(fingerprint, targetId, nowMs)
     );
+    const isSuspectedElsewhere = new Set(suspectedElsewhere);
     const newlySuspected = inFlight.filter((fingerprint) =>
-      !suspectedElsewhere.includes(fingerprint)
+      !isSuspectedElsewhere.has(fingerprint)
     );
     for (const fingerprint of newlySuspected) {
       this.#addScore(fingerprint, {
--- a/src/core/crashes/crash_attribution_test.ts
+++ b/src/core/crashes/crash_attribution_test.ts
@@ -1,4 +1,6 @@
+import assert from "node:assert/strict";
 import { test } from "node:test";
+import { MAX_LINEAR_GROWTH, measureGrowth } from "../../testing/growth.ts";
 import { openSnapshots } from "../../testing/snapshot.ts";
 import { CrashAttribution } from "./crash_attribution.ts";
 
@@ -69,3 +71,24 @@
   });
   matchSnapshot(t, results);
 });
+
+// Guards against a target that crashes with many requests and keeps a host busy
+// for a time that grows with the square of their number.
+test("the time to attribute a crash grows with the number of requests", () => {
+  const growth = measureGrowth((count) => {
+    const attribution = new CrashAttribution();
+    return () => {
+      for (const targetId of ["t1", "t2"]) {
+        for (let i = 0; i < count; i++) {
+          attribution.recordBrokenAttempt(
+            targetId,
+            { fingerprint: `f${i}`, version: "v1" },
+            0,
+          );
+        }
+        attribution.recordRefusedConnection(targetId, 0);
+      }
+    };
+  }, 600);
+  assert.ok(growth < MAX_LINEAR_GROWTH, `${growth}`);
+});
