Record reports of hosts in time that grows with their number

Each report that was received built the list of all hosts to count them, and each new host in a summary of a zone rebuilt the list and all shares, so the summary of a zone of n new hosts took n * n steps. The number of hosts is now kept, and a new host is added to the shares by itself. The statements of leaving targets are repeated once for a summary, not once for each new host.

The new test of membership_test records 1,000 and 16,000 hosts and compares the times.

--- a/src/core/limits/quotas.ts
+++ b/src/core/limits/quotas.ts
@@ -166,7 +166,7 @@
   #peers = new Map<string, DemandReport & QuotaPeer>();
   #zoneReports = new Map<string, DemandReport>();
   /** One report for each zone that reports as a whole, else for each host. */
-  #reports: readonly DemandReport[] = [];
+  #reports: DemandReport[] = [];
   /** Whether new buckets start full. */
   #startsFull: boolean;
   /** Whether this host has recent reports from most hosts. */
@@ -211,16 +211,9 @@
   setPeers(peers: readonly QuotaPeer[]): void {
     const previous = this.#peers;
     this.#peers = new Map(
-      peers.map(({ id, availabilityZone }) => [
-        id,
-        {
-          id,
-          availabilityZone,
-          demands: NO_DEMANDS,
-          receivedMs: -Infinity,
-          hostCount: 1,
-          ...previous.get(id),
-        },
+      peers.map((peer) => [
+        peer.id,
+        previous.get(peer.id) ?? createPeerReport(peer),
       ]),
     );
     const zones = new Set(
@@ -233,6 +226,19 @@
     this.#reports = this.#selectReports(-Infinity);
   }
 
+  /** Adds another host; a known one is left as it is. */
+  addPeer(peer: QuotaPeer): void {
+    if (this.#peers.has(peer.id)) return;
+    const report = createPeerReport(peer);
+    this.#peers.set(peer.id, report);
+    const zone = this.#zoneReports.get(peer.availabilityZone);
+    if (zone === undefined) this.#reports.push(report);
+    else {
+      if (zone.hostCount === 0) this.#reports.push(zone);
+      zone.hostCount += 1;
+    }
+  }
+
   /** Records a report from another host; unknown hosts are ignored. */
   recordPeerDemands(
     hostId: string,
@@ -476,6 +482,19 @@
   }
 }
 
+/** Creates the entry of a host that has not reported yet. */
+function createPeerReport(
+  { id, availabilityZone }: QuotaPeer,
+): DemandReport & QuotaPeer {
+  return {
+    id,
+    availabilityZone,
+    demands: NO_DEMANDS,
+    receivedMs: -Infinity,
+    hostCount: 1,
+  };
+}
+
 /** Number of hosts that the reports cover. */
 function countHosts(reports: readonly DemandReport[]): number {
   return reports.reduce((sum, { hostCount }) => sum + hostCount, 0);
--- a/src/core/limits/quotas_test.ts
+++ b/src/core/limits/quotas_test.ts
@@ -252,3 +252,33 @@
 test("an isolated host gives up its share before the others use it", () => {
   assert.ok(ISOLATION_TIMEOUT_MS < RECLAIM_TIMEOUT_MS);
 });
+
+// Guards against hosts that are met one by one and get other shares than those
+// that are set together.
+test("hosts that are added one by one count like a list of them", () => {
+  const organisation = sampleOrganisation({ ratePerS: 60, burst: 20 });
+  const peers = Array.from({ length: 5 }, (_, i) => ({
+    id: `host-${i}`,
+    availabilityZone: `zone-${i % 2}`,
+  }));
+  const admitted = [false, true].map((isAddedOneByOne) => {
+    const quotas = new Quotas(BOUNDS, { startsFull: true, nowMs: 0 });
+    quotas.recordZoneDemands(
+      "zone-1",
+      new Map([["drivers", { requestsPerS: 20, admitted: 10 }]]),
+      0,
+    );
+    if (isAddedOneByOne) { for (const peer of peers) quotas.addPeer(peer); }
+    else quotas.setPeers(peers);
+    quotas.configure([organisation], 0);
+    for (const { id } of peers) {
+      const demand = { requestsPerS: 10, admitted: 5 };
+      quotas.recordPeerDemands(id, new Map([["drivers", demand]]), 10);
+    }
+    quotas.update(100);
+    return Array.from({ length: 300 }, (_, i) => i)
+      .filter((i) => quotas.admit("drivers", 100 + i).isAdmitted).length;
+  });
+  assert.ok(admitted[0] > 0);
+  assert.equal(admitted[0], admitted[1]);
+});
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -31,6 +31,10 @@
   readonly #self: HostAddress;
   #peers = new Map<string, PeerState>();
   #registered = new Map<string, HostAddress>();
+  /** Number of hosts that have reported and are not registered. */
+  #unregisteredCount = 0;
+  /** Registered hosts and those that have reported; `undefined` after a change. */
+  #allPeers: readonly HostAddress[] | undefined;
   #livePeers: readonly HostRecord[] = [];
   #livePeersUpdatedMs = -Infinity;
 
@@ -51,6 +55,12 @@
       if (!supersedes(record, peer.record, silenceMs)) return false;
     }
     this.#peers.set(record.id, { record, lastReportMs: nowMs });
+    if (peer?.record.startedMs !== record.startedMs) {
+      this.#allPeers = undefined;
+    }
+    if (peer === undefined && !this.#registered.has(record.id)) {
+      this.#unregisteredCount += 1;
+    }
     if (
       peer?.record.state !== record.state ||
       peer.record.hasTargetPath !== record.hasTargetPath
@@ -76,6 +86,9 @@
         this.#peers.delete(id);
       }
     }
+    this.#allPeers = undefined;
+    this.#unregisteredCount =
+      [...this.#peers.keys()].filter((id) => !this.#registered.has(id)).length;
   }
 
   /**
@@ -117,12 +130,12 @@
   }
 
   /** All other hosts that are registered or have reported, alive or not. */
-  peers(): HostAddress[] {
-    const peers = new Map<string, HostAddress>(this.#registered);
-    for (const [id, { record }] of this.#peers) {
-      if (!peers.has(id)) peers.set(id, record);
-    }
-    return [...peers.values()];
+  peers(): readonly HostAddress[] {
+    return this.#allPeers ??= [
+      ...this.#registered.values(),
+      ...[...this.#peers.values()].map(({ record }) => record)
+        .filter(({ id }) => !this.#registered.has(id)),
+    ];
   }
 
   /**
@@ -149,14 +162,15 @@
 
   /** Whether hosts report to other zones through a delegate of their zone. */
   get usesDelegates(): boolean {
-    return this.peers().length >= DELEGATES_MIN_PEERS;
+    const peerCount = this.#registered.size + this.#unregisteredCount;
+    return peerCount >= DELEGATES_MIN_PEERS;
   }
 
   /**
    * Hosts to which this host sends its own report: those of its zone when
    * delegates are used, otherwise all.
    */
-  directPeers(): HostAddress[] {
+  directPeers(): readonly HostAddress[] {
     const peers = this.peers();
     if (peers.length < DELEGATES_MIN_PEERS) return peers;
     const { availabilityZone } = this.#self;
--- a/src/core/membership/membership_test.ts
+++ b/src/core/membership/membership_test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { MAX_LINEAR_GROWTH, measureGrowth } from "../../testing/growth.ts";
+import { Quotas } from "../limits/quotas.ts";
 import { Membership } from "./membership.ts";
 import type { HostRecord } from "./types.ts";
 
@@ -110,3 +112,40 @@
   assert.equal(membership.recordReport(last, 2_100), true);
   assert.equal(membership.recordReport(last, 4_000), false);
 });
+
+// Guards against reports of many hosts that keep a host busy for a time that
+// grows with the square of their number.
+test("the time to record hosts grows with their number", () => {
+  const growth = measureGrowth((count) => {
+    const membership = new Membership(host("a", count));
+    const quotas = new Quotas(
+      { windowMs: 5_000, excessFraction: 0.1, slackRequests: 20 },
+      { nowMs: 0 },
+    );
+    return () => {
+      for (let n = 0; n < count; n++) {
+        const record = host(n % 2 === 0 ? "a" : "b", n);
+        membership.recordReport(record, 0);
+        quotas.addPeer(record);
+        assert.equal(membership.usesDelegates, n + 1 >= 24);
+      }
+      assert.equal(membership.peers().length, count);
+    };
+  }, 1_000);
+  assert.ok(growth < MAX_LINEAR_GROWTH, `${growth}`);
+});
+
+// Guards against a number of hosts that is not that of the list, so that a host
+// reports to other ones than the rest of the fleet expects.
+test("the number of hosts counts registered and other hosts once", () => {
+  const membership = new Membership(host("a", 0));
+  const hosts = Array.from({ length: 30 }, (_, n) => host("a", n));
+  for (const record of hosts.slice(0, 20)) membership.recordReport(record, 0);
+  assert.equal(membership.usesDelegates, false);
+  membership.setRegistered(hosts.slice(10, 28));
+  assert.equal(membership.peers().length, 27);
+  assert.equal(membership.usesDelegates, true);
+  membership.setRegistered(hosts.slice(10, 20));
+  assert.equal(membership.peers().length, 19);
+  assert.equal(membership.usesDelegates, false);
+});
--- a/src/node/entry/fleet_reports.ts
+++ b/src/node/entry/fleet_reports.ts
@@ -162,7 +162,7 @@
     const { record, positions, documentVersion, store } = report;
     const { id, peerAddress, startedMs, availabilityZone } = record;
     if (!membership.recordReport(record, nowMs())) return;
-    this.#detectNewPeer(record);
+    if (this.#recordProcess(record)) this.#informNewProcesses();
     this.#reports.set(id, report);
     const atMs = nowMs();
     this.#peerStatuses.set(id, {
@@ -188,10 +188,11 @@
     const { membership, quotas, counts, releases, nowMs } = this.#options;
     const { availabilityZone, authorId } = summary;
     const atMs = nowMs();
+    let hasNewProcess = false;
     for (const { record, store = NON_WATCHER_REPORT } of summary.hosts) {
       if (!membership.recordReport(record, atMs)) continue;
       const { id, peerAddress } = record;
-      this.#detectNewPeer(record);
+      if (this.#recordProcess(record)) hasNewProcess = true;
       const isAuthor = id === authorId;
       const positions = isAuthor ? summary.positions : new Map();
       this.#peerStatuses.set(id, {
@@ -202,6 +203,7 @@
         receivedMs: atMs,
       });
     }
+    if (hasNewProcess) this.#informNewProcesses();
     if (!membership.usesDelegates) return;
     quotas.recordZoneDemands(availabilityZone, summary.demands, atMs);
     counts.setZoneCounts(availabilityZone, summary.counts);
@@ -253,10 +255,12 @@
     return true;
   }
 
-  #detectNewPeer({ id, state, startedMs, build }: HostRecord): void {
-    const { targets, nowMs, requestReport, log } = this.#options;
+  /** Records the process of a host. Returns whether it is new to this host. */
+  #recordProcess(record: HostRecord): boolean {
+    const { log, quotas } = this.#options;
+    const { id, state, startedMs, build } = record;
     const earlier = this.#peerProcesses.get(id);
-    if (earlier?.startedMs === startedMs) return;
+    if (earlier?.startedMs === startedMs) return false;
     this.#peerProcesses.set(id, { startedMs, build });
     if (earlier !== undefined && earlier.build !== build) {
       log.event("host_build_changed", {
@@ -265,12 +269,18 @@
         previousBuild: earlier.build,
       });
     }
-    // A process that has just started does not know which targets are leaving.
+    if (!this.#peerStatuses.has(id)) {
+      log.event("host_met", { peer: id, state, build });
+      quotas.addPeer(record);
+    }
+    return true;
+  }
+
+  /** Reports again what a process that has just started does not know. */
+  #informNewProcesses(): void {
+    const { targets, nowMs, requestReport } = this.#options;
     targets.repeatLeavingReports(nowMs());
     if (targets.createLeavingReport(nowMs()).length > 0) requestReport();
-    if (this.#peerStatuses.has(id)) return;
-    log.event("host_met", { peer: id, state, build });
-    this.updateQuotaPeers();
   }
 
   #recordLimits(limits: readonly TargetLimit[], reporterId: string): void {
