Report what only hosts remember to hosts that have missed it

A request that crashes each target that runs it was passed on by every host that had been restarted after it was blocked, though all others blocked it: each time a target crashed with all that it ran.

Cause: a host reported a blocked fingerprint for 5 s after it had learned of it, and nothing repeated it later. The restarted host computes the same fingerprint (it blocks the request now), and waits for a report before it serves, but no report held the block. The same held for a host that was cut off for over 5 s, in one direction or both, for suspected requests, and for targets that had stated that they leave (3 s).

Each host now remembers blocks for an hour and crashes for ten minutes, with the time of the crash, so that hosts that tell each other don't renew them. Reports hold those of the last 5 s and four of the others in turn, more while another host states that it may have missed reports: when it has started, has been paused, or hears a host again after 1.8 s of silence. Limits that targets stated to a restarted host are reported by the others, too. 1,024 blocks and as many crashes and stopped versions are remembered, and all lists of a report are bounded, as a datagram that exceeds 64 KB was lost without a word; the rest follows in turn.

--- a/src/core/crashes/crash_attribution.ts
+++ b/src/core/crashes/crash_attribution.ts
@@ -77,16 +77,18 @@
 
   /**
    * Records a crash with a fingerprint in flight that another host reported.
+   *
+   * @param options `ageMs` is the time since the crash. Default: 0.
    */
   recordReportedCrash(
     fingerprint: string,
-    targetId: string,
+    { targetId, ageMs = 0 }: { targetId: string; ageMs?: number },
     nowMs: number,
   ): void {
     this.#addScore(fingerprint, {
       targetId,
       score: REPORTED_CRASH_SCORE,
-      nowMs,
+      atMs: nowMs - ageMs,
     });
   }
 
@@ -167,7 +169,7 @@
       this.#addScore(fingerprint, {
         targetId,
         score: 1 / newlySuspected.length,
-        nowMs,
+        atMs: nowMs,
       });
     }
     for (const fingerprint of suspectedElsewhere) {
@@ -177,7 +179,7 @@
       if (suspectedElsewhere.length === 1) {
         this.#raiseEarlierScores(fingerprint);
       }
-      this.#addScore(fingerprint, { targetId, score, nowMs });
+      this.#addScore(fingerprint, { targetId, score, atMs: nowMs });
     }
     const blocked = suspectedElsewhere.filter((fingerprint) =>
       this.suspicionScore(fingerprint) >= BLOCK_SCORE
@@ -207,23 +209,24 @@
 
   #addScore(
     fingerprint: string,
-    { targetId, score, nowMs }: {
+    { targetId, score, atMs }: {
       targetId: string;
       score: number;
-      nowMs: number;
+      /** Time of the crash. */
+      atMs: number;
     },
   ): void {
     const existing = this.#suspicions.get(fingerprint);
     const isCurrent = existing !== undefined &&
-      nowMs - existing.lastCrashMs <= SUSPICION_TTL_MS;
+      atMs - existing.lastCrashMs <= SUSPICION_TTL_MS;
     const suspicion = isCurrent
       ? existing
-      : { scoreByTarget: new Map(), lastCrashMs: nowMs };
+      : { scoreByTarget: new Map(), lastCrashMs: atMs };
     suspicion.scoreByTarget.set(
       targetId,
       Math.max(suspicion.scoreByTarget.get(targetId) ?? 0, score),
     );
-    suspicion.lastCrashMs = nowMs;
+    suspicion.lastCrashMs = Math.max(suspicion.lastCrashMs, atMs);
     this.#suspicions.delete(fingerprint);
     this.#suspicions.set(fingerprint, suspicion);
     if (this.#suspicions.size <= MAX_FINGERPRINTS) return;
--- a/src/core/crashes/crash_attribution_test.ts
+++ b/src/core/crashes/crash_attribution_test.ts
@@ -49,7 +49,7 @@
       }
       if (step.startsWith("reported ")) {
         const [, fingerprint, targetId] = step.split(" ");
-        attribution.recordReportedCrash(fingerprint, targetId, nowMs);
+        attribution.recordReportedCrash(fingerprint, { targetId }, nowMs);
         return [];
       }
       const [targetId, inFlight] = step.split(": ");
--- a/src/core/membership/membership_test.ts
+++ b/src/core/membership/membership_test.ts
@@ -17,6 +17,7 @@
     state: "ready",
     hasTargetPath: true,
     build: "0.1.0+1a2b3c4",
+    hasMissedReports: false,
   };
 }
 
--- a/src/core/membership/report.ts
+++ b/src/core/membership/report.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { CrashReport } from "../crashes/crash_memory.ts";
 import type { Demand } from "../limits/quotas.ts";
 import type {
   ReleaseProgress,
@@ -16,13 +17,6 @@
 import type { TargetLimit } from "../targets/limit_reports.ts";
 import type { HostRecord } from "./types.ts";
 
-/** Fingerprint of a request that was in flight when a target crashed. */
-export interface CrashReport {
-  readonly fingerprint: string;
-  /** Id of the target; "" reports that the fingerprint is blocked. */
-  readonly targetId: string;
-}
-
 /** Report of a host. A later one of the same process replaces it. */
 export interface HostReport {
   readonly record: HostRecord;
@@ -43,4 +37,6 @@
   readonly store: StoreReport;
   /** Crashes and blocked fingerprints that the host learned of recently. */
   readonly crashReports: readonly CrashReport[];
+  /** Some of those that it learned of earlier. */
+  readonly rememberedCrashes: readonly CrashReport[];
 }
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -33,4 +33,9 @@
   readonly hasTargetPath: boolean;
   /** Build that the process runs; "" from builds that report none. */
   readonly build: string;
+  /**
+   * Whether the host may have missed reports, so that the others should repeat
+   * what only hosts remember.
+   */
+  readonly hasMissedReports: boolean;
 }
--- a/src/core/membership/zone_summary.ts
+++ b/src/core/membership/zone_summary.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import type { CrashReport } from "../crashes/crash_memory.ts";
 import type { Demand } from "../limits/quotas.ts";
 import type {
   ReleaseProgress,
@@ -16,7 +17,7 @@
 import type { ObjectKind } from "../store/types.ts";
 import type { TargetInstance } from "../targets/leaving_targets.ts";
 import { mergeLimits, type TargetLimit } from "../targets/limit_reports.ts";
-import type { CrashReport, HostReport } from "./report.ts";
+import type { HostReport } from "./report.ts";
 import type { HostRecord } from "./types.ts";
 
 /** A live host in the summary of its zone. */
@@ -47,6 +48,7 @@
   /** Instances of targets that have stated that they are leaving. */
   readonly leavingTargets: readonly TargetInstance[];
   readonly crashReports: readonly CrashReport[];
+  readonly rememberedCrashes: readonly CrashReport[];
 }
 
 /**
@@ -90,19 +92,8 @@
     limits: mergeLimits(reports.flatMap(({ limits }) => limits)),
     // The author has already merged the instances that its peers report.
     leavingTargets: ownReport.leavingTargets,
-    crashReports: distinctCrashReports(
-      reports.flatMap(({ crashReports }) => crashReports),
-    ),
+    // The author has already merged the crashes that its peers report.
+    crashReports: ownReport.crashReports,
+    rememberedCrashes: ownReport.rememberedCrashes,
   };
 }
-
-function distinctCrashReports(
-  crashReports: readonly CrashReport[],
-): CrashReport[] {
-  const byKey = new Map(
-    crashReports.map((
-      crash,
-    ) => [`${crash.fingerprint} ${crash.targetId}`, crash]),
-  );
-  return [...byKey.values()];
-}
--- a/src/core/relay/choose_relay_host_test.ts
+++ b/src/core/relay/choose_relay_host_test.ts
@@ -21,6 +21,7 @@
     state: "ready",
     hasTargetPath: true,
     build: "0.1.0+1a2b3c4",
+    hasMissedReports: false,
     ...overrides,
   };
 }
--- a/src/core/request/pipeline.ts
+++ b/src/core/request/pipeline.ts
@@ -63,7 +63,7 @@
     case "suspicion_received":
       state.crashAttribution.recordReportedCrash(
         event.fingerprint,
-        event.targetId,
+        event,
         nowMs,
       );
       break;
--- a/src/core/request/types.ts
+++ b/src/core/request/types.ts
@@ -86,6 +86,8 @@
     readonly type: "suspicion_received";
     readonly fingerprint: string;
     readonly targetId: string;
+    /** Time since the crash. */
+    readonly ageMs: number;
   }
   | { readonly type: "tick" };
 
--- a/src/core/targets/limit_reports.ts
+++ b/src/core/targets/limit_reports.ts
@@ -13,14 +13,19 @@
   readonly startedMs: number;
 }
 
-/** Returns the limits that targets stated to this host. */
+/**
+ * Returns the limits that targets stated to this host.
+ *
+ * @param options See `StatedLimit.createReport`.
+ */
 export function createLimitReport(
   targets: TargetTable,
   nowMs: number,
+  options: { includesReported?: boolean } = {},
 ): TargetLimit[] {
   const limits: TargetLimit[] = [];
   for (const { target: { id, startedMs }, statedLimit } of targets.all()) {
-    const statement = statedLimit.createReport(nowMs);
+    const statement = statedLimit.createReport(nowMs, options);
     if (statement === undefined) continue;
     limits.push({ targetId: id, startedMs, ...statement });
   }
--- a/src/core/targets/stated_limit.ts
+++ b/src/core/targets/stated_limit.ts
@@ -85,10 +85,17 @@
   /**
    * Returns the statement that this host reports to the others: a limit, or for
    * some time its end, in a response to this host.
+   *
+   * @param options `includesReported`: also returns a limit that another host
+   * has reported, as that host may have lost its memory. Default: false.
    */
-  createReport(nowMs: number): LimitStatement | undefined {
-    const isReported = this.#isOwn &&
-      (this.#limitPerS !== undefined || nowMs - this.#endedMs < END_REPORT_MS);
+  createReport(
+    nowMs: number,
+    { includesReported = false }: { includesReported?: boolean } = {},
+  ): LimitStatement | undefined {
+    const isReported = this.#limitPerS !== undefined
+      ? this.#isOwn || includesReported
+      : this.#isOwn && nowMs - this.#endedMs < END_REPORT_MS;
     return isReported
       ? { limitPerS: this.#limitPerS, ageMs: nowMs - this.#respondedMs }
       : undefined;
--- a/src/core/targets/stated_limit_test.ts
+++ b/src/core/targets/stated_limit_test.ts
@@ -168,3 +168,18 @@
   limit.takeToken(60_500);
   assert.equal(limit.delayMs(TARGET_HASH, ALONE, 60_500), 500);
 });
+
+// Guards against a host that restarts and does not know of a limit that only it
+// had learned from the target, while the others know it from its reports.
+test("a limit that another host reported is told to one that lacks it", () => {
+  const limit = new StatedLimit();
+  limit.recordReport({ limitPerS: 5, ageMs: 100 }, 1_000);
+  assert.equal(limit.createReport(1_200), undefined);
+  const options = { includesReported: true };
+  assert.deepEqual(limit.createReport(1_200, options), {
+    limitPerS: 5,
+    ageMs: 300,
+  });
+  limit.recordReport({ limitPerS: undefined, ageMs: 0 }, 1_300);
+  assert.equal(limit.createReport(1_400, options), undefined);
+});
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -251,6 +251,7 @@
     onTargetLeaving: (address) => pool.closeIdle(address),
     onCrashReport: (crash) =>
       handler.dispatch({ type: "suspicion_received", ...crash }),
+    isSuspected: (fingerprint) => handler.isSuspected(fingerprint),
     requestReport: () => reportExchange.requestReport(),
   });
   const dependencies = createRequestDependencies({
@@ -316,7 +317,7 @@
     nowMs,
     closesConnections: () => gracefulStop.phaseAt(nowMs()) !== "serving",
     publishCrashReport({ fingerprint, targetId = "" }) {
-      fleetReports.recordCrash({ fingerprint, targetId });
+      fleetReports.recordCrash(fingerprint, targetId);
       reportExchange.requestReport();
     },
   });
@@ -432,6 +433,7 @@
     if (gapMs > MIN_PAUSE_MS) {
       log.warn("process_paused", { gapMs: Math.round(gapMs) });
       membership.recordPause(gapMs);
+      fleetReports.recordPause(gapMs);
     }
     guard("quotas", () => quotas.update(atMs));
     guard("applier", () => applier.tick());
--- a/src/node/entry/fleet_reports.ts
+++ b/src/node/entry/fleet_reports.ts
@@ -4,9 +4,15 @@
  *
  * @module
  */
+import {
+  CrashMemory,
+  type CrashReport,
+} from "../../core/crashes/crash_memory.ts";
 import type { Quotas } from "../../core/limits/quotas.ts";
 import type { Membership } from "../../core/membership/membership.ts";
-import type { CrashReport, HostReport } from "../../core/membership/report.ts";
+import { MissedReports } from "../../core/membership/missed_reports.ts";
+import type { HostReport } from "../../core/membership/report.ts";
+import { Rotation } from "../../core/membership/rotation.ts";
 import type {
   HostAddress,
   HostRecord,
@@ -30,8 +36,15 @@
 import type { Log } from "../telemetry/log.ts";
 import type { PeerStatus, StoreReplica } from "./store_replica.ts";
 
-/** Time for which a crash is included in the reports of this host. */
-const CRASH_REPORT_DURATION_MS = 5_000;
+/** Time for which more is reported after another host has missed reports. */
+const REPEAT_MS = 3_000;
+/**
+ * Entries of one kind in a report, so that a datagram can hold it. The others
+ * follow in turn in the next reports.
+ */
+const MAX_REPORTED = 256;
+/** Stopped versions in a report: the last ones, and as many others in turn. */
+const MAX_STOPPED_REPORTED = 32;
 /** Store report of a host that does not watch the store. */
 const NON_WATCHER_REPORT: StoreReport = {
   watches: false,
@@ -64,6 +77,8 @@
   readonly onTargetLeaving: (address: string) => void;
   /** Called when another host has reported a crash of a target. */
   readonly onCrashReport: (crash: CrashReport) => void;
+  /** Whether requests with a fingerprint are suspected of crashes. */
+  readonly isSuspected: (fingerprint: string) => boolean;
   /** Requests a report at once, as other hosts have to learn of a change. */
   readonly requestReport: () => void;
 }
@@ -78,30 +93,47 @@
     string,
     Pick<HostRecord, "startedMs" | "build">
   >();
-  readonly #blockedFingerprints = new Set<string>();
-  #recordedCrashes: { crash: CrashReport; recordedMs: number }[] = [];
+  readonly #crashMemory = new CrashMemory();
+  readonly #missedReports: MissedReports;
+  readonly #rotations = {
+    limits: new Rotation(),
+    zoneLimits: new Rotation(),
+    leavingTargets: new Rotation(),
+    stopped: new Rotation(),
+  };
+  /** Time until which more is reported. */
+  #repeatUntilMs = -Infinity;
   #sequence = 0;
 
   constructor(options: FleetReportsOptions) {
     this.#options = options;
+    this.#missedReports = new MissedReports(options.nowMs());
   }
 
   /** Whether requests with this fingerprint are blocked. */
   isBlocked(fingerprint: string): boolean {
-    return this.#blockedFingerprints.has(fingerprint);
+    return this.#crashMemory.isBlocked(fingerprint, this.#options.nowMs());
+  }
+
+  /** Records that this process was paused and may have missed reports. */
+  recordPause(pauseMs: number): void {
+    this.#missedReports.recordSilence(pauseMs, this.#options.nowMs());
   }
 
   /** Creates the next report of this host. */
   createReport(): HostReport {
     const { self, startedMs, state, quotas, targets, counts, releases, nowMs } =
       this.#options;
-    const { replica, build } = this.#options;
+    const { replica, build, isSuspected, log } = this.#options;
     this.#sequence += 1;
     const atMs = nowMs();
-    this.#recordedCrashes = this.#recordedCrashes.filter((recorded) =>
-      recorded.crash.targetId === "" ||
-      atMs - recorded.recordedMs < CRASH_REPORT_DURATION_MS
-    );
+    for (const fingerprint of this.#crashMemory.dropExpired(atMs)) {
+      log.event("request_unblocked", { fingerprint });
+    }
+    const crashes = this.#crashMemory.createReport(isSuspected, atMs);
+    const limits = createLimitReport(targets, atMs, {
+      includesReported: atMs < this.#repeatUntilMs,
+    });
     return {
       record: {
         ...self,
@@ -110,24 +142,34 @@
         state: state(),
         hasTargetPath: this.#options.hasTargetPath(),
         build,
+        hasMissedReports: this.#missedReports.isStatedAt(atMs),
       },
       positions: replica().changedPositions(),
       documentVersion: this.#options.documentVersion(),
       store: replica().createStoreReport(),
       demands: quotas.reportDemands(atMs),
       counts: counts.getLocalCounts(releases.getServicesInRelease()),
-      stopped: releases.getStoppedVersions(),
+      stopped: this.#chooseStoppedVersions(),
       releases: releases.getProgress(atMs),
-      limits: createLimitReport(targets, atMs),
-      leavingTargets: targets.createLeavingReport(atMs),
-      crashReports: this.#recordedCrashes
-        .filter((recorded) =>
-          atMs - recorded.recordedMs < CRASH_REPORT_DURATION_MS
-        )
-        .map(({ crash }) => crash),
+      limits: this.#rotations.limits.take(limits, MAX_REPORTED),
+      leavingTargets: this.#rotations.leavingTargets.take(
+        targets.createLeavingReport(atMs),
+        MAX_REPORTED,
+      ),
+      crashReports: crashes.recent,
+      rememberedCrashes: crashes.remembered,
     };
   }
 
+  #chooseStoppedVersions(): StoppedVersion[] {
+    const stopped = this.#options.releases.getStoppedVersions();
+    const last = stopped.splice(-MAX_STOPPED_REPORTED);
+    return [
+      ...this.#rotations.stopped.take(stopped, MAX_STOPPED_REPORTED),
+      ...last,
+    ];
+  }
+
   /**
    * Summarizes the zone of this host for the other zones.
    *
@@ -149,11 +191,14 @@
           })),
         }];
       });
-    return summarizeZone(
+    const summary = summarizeZone(
       ownReport,
       peerReports,
       counts.sumLocalAndPeerCounts(releases.getServicesInRelease()),
     );
+    const limits = this.#rotations.zoneLimits
+      .take(summary.limits, MAX_REPORTED);
+    return { ...summary, limits };
   }
 
   /** Applies the report of another host. An outdated one is ignored. */
@@ -161,10 +206,13 @@
     const { membership, quotas, counts, releases, nowMs, self } = this.#options;
     const { record, positions, documentVersion, store } = report;
     const { id, peerAddress, startedMs, availabilityZone } = record;
-    if (!membership.recordReport(record, nowMs())) return;
-    if (this.#recordProcess(record)) this.#informNewProcesses();
-    this.#reports.set(id, report);
     const atMs = nowMs();
+    const silenceMs = this.#silenceMs(id, atMs);
+    if (!membership.recordReport(record, atMs)) return;
+    const isNewProcess = this.#recordProcess(record);
+    const isRepeated = this.#recordContact(record, silenceMs, atMs);
+    if (isNewProcess || isRepeated) this.#repeatReports({ isNewProcess });
+    this.#reports.set(id, report);
     this.#peerStatuses.set(id, {
       peerAddress,
       positions,
@@ -188,11 +236,14 @@
     const { membership, quotas, counts, releases, nowMs } = this.#options;
     const { availabilityZone, authorId } = summary;
     const atMs = nowMs();
-    let hasNewProcess = false;
+    let isNewProcess = false;
+    let isRepeated = false;
     for (const { record, store = NON_WATCHER_REPORT } of summary.hosts) {
-      if (!membership.recordReport(record, atMs)) continue;
       const { id, peerAddress } = record;
-      if (this.#recordProcess(record)) hasNewProcess = true;
+      const silenceMs = this.#silenceMs(id, atMs);
+      if (!membership.recordReport(record, atMs)) continue;
+      if (this.#recordProcess(record)) isNewProcess = true;
+      if (this.#recordContact(record, silenceMs, atMs)) isRepeated = true;
       const isAuthor = id === authorId;
       const positions = isAuthor ? summary.positions : new Map();
       this.#peerStatuses.set(id, {
@@ -203,7 +254,7 @@
         receivedMs: atMs,
       });
     }
-    if (hasNewProcess) this.#informNewProcesses();
+    if (isNewProcess || isRepeated) this.#repeatReports({ isNewProcess });
     if (!membership.usesDelegates) return;
     quotas.recordZoneDemands(availabilityZone, summary.demands, atMs);
     counts.setZoneCounts(availabilityZone, summary.counts);
@@ -243,16 +294,12 @@
     quotas.setPeers(membership.peers());
   }
 
-  /** Records a crash or a blocked fingerprint. Returns whether it was new. */
-  recordCrash(crash: CrashReport): boolean {
-    const isKnown = this.#recordedCrashes.some((recorded) =>
-      recorded.crash.fingerprint === crash.fingerprint &&
-      recorded.crash.targetId === crash.targetId
-    );
-    if (isKnown) return false;
-    this.#recordedCrashes.push({ crash, recordedMs: this.#options.nowMs() });
-    if (crash.targetId === "") this.#blockedFingerprints.add(crash.fingerprint);
-    return true;
+  /**
+   * Records a crash that this host observed or, without a target, a block.
+   */
+  recordCrash(fingerprint: string, targetId: string): void {
+    const nowMs = this.#options.nowMs();
+    this.#crashMemory.record(fingerprint, { targetId, nowMs });
   }
 
   /** Records the process of a host. Returns whether it is new to this host. */
@@ -276,11 +323,36 @@
     return true;
   }
 
-  /** Reports again what a process that has just started does not know. */
-  #informNewProcesses(): void {
+  /** Time since the last report of a host; 0 before the first one. */
+  #silenceMs(hostId: string, nowMs: number): number {
+    return nowMs -
+      (this.#options.membership.get(hostId)?.lastReportMs ?? nowMs);
+  }
+
+  /** Returns whether this host or the one that reports has missed reports. */
+  #recordContact(
+    { hasMissedReports }: HostRecord,
+    silenceMs: number,
+    nowMs: number,
+  ): boolean {
+    return this.#missedReports.recordSilence(silenceMs, nowMs) ||
+      hasMissedReports;
+  }
+
+  /**
+   * Reports again what only hosts remember, at once to a process that has just
+   * started.
+   */
+  #repeatReports({ isNewProcess }: { isNewProcess: boolean }): void {
     const { targets, nowMs, requestReport } = this.#options;
-    targets.repeatLeavingReports(nowMs());
-    if (targets.createLeavingReport(nowMs()).length > 0) requestReport();
+    const atMs = nowMs();
+    this.#repeatUntilMs = atMs + REPEAT_MS;
+    targets.repeatLeavingReports(atMs);
+    this.#crashMemory.repeatReports(atMs);
+    if (!isNewProcess) return;
+    const hasEntries = !this.#crashMemory.isEmpty ||
+      targets.createLeavingReport(atMs).length > 0;
+    if (hasEntries) requestReport();
   }
 
   #recordLimits(limits: readonly TargetLimit[], reporterId: string): void {
@@ -322,13 +394,14 @@
   }
 
   #mergeStopsAndCrashes(
-    { stopped, crashReports }: {
+    { stopped, crashReports, rememberedCrashes }: {
       stopped: readonly StoppedVersion[];
       crashReports: readonly CrashReport[];
+      rememberedCrashes: readonly CrashReport[];
     },
     reporterId: string,
   ): void {
-    const { releases, log, onCrashReport, requestReport } = this.#options;
+    const { releases, log, requestReport } = this.#options;
     let hasNewEntries = false;
     for (const stoppedVersion of stopped) {
       if (!releases.stopVersion(stoppedVersion)) continue;
@@ -336,10 +409,19 @@
       log.event("version_stopped", { ...stoppedVersion, from: reporterId });
     }
     for (const crash of crashReports) {
-      if (!this.recordCrash(crash)) continue;
-      hasNewEntries = true;
-      if (crash.targetId !== "") onCrashReport(crash);
+      if (this.#mergeCrash(crash, reporterId)) hasNewEntries = true;
     }
+    for (const crash of rememberedCrashes) this.#mergeCrash(crash, reporterId);
     if (hasNewEntries) requestReport();
   }
+
+  /** Records a crash that another host reports. Returns whether it was new. */
+  #mergeCrash(crash: CrashReport, reporterId: string): boolean {
+    const { log, nowMs, onCrashReport } = this.#options;
+    const { fingerprint, targetId, ageMs } = crash;
+    if (!this.#crashMemory.recordReport(crash, nowMs())) return false;
+    if (targetId !== "") onCrashReport(crash);
+    else log.event("request_block", { fingerprint, ageMs, from: reporterId });
+    return true;
+  }
 }
--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -100,6 +100,11 @@
     return this.#exchanges.size;
   }
 
+  /** Whether requests with a fingerprint are suspected of crashing targets. */
+  isSuspected(fingerprint: string): boolean {
+    return this.#state.crashAttribution.suspicionScore(fingerprint) > 0;
+  }
+
   /** Resolves when no request is in progress. */
   whenIdle(): Promise<void> {
     if (this.#exchanges.size === 0) return Promise.resolve();
--- a/src/node/peer/report_codec_test.ts
+++ b/src/node/peer/report_codec_test.ts
@@ -17,6 +17,7 @@
       state: "ready",
       hasTargetPath: false,
       build: "0.1.0+1a2b3c4",
+      hasMissedReports: false,
     },
     positions: new Map([["targets", { epoch: 3, revision: 40 + n }]]),
     documentVersion: 7,
@@ -30,7 +31,8 @@
     ],
     leavingTargets: [{ targetId: "t2", startedMs: 8 }],
     store: { watches, isFailing: false, ageMs: 20, sinceReturnMs: Infinity },
-    crashReports: [{ fingerprint: "f", targetId: "t" }],
+    crashReports: [{ fingerprint: "f", targetId: "t", ageMs: 5 }],
+    rememberedCrashes: [{ fingerprint: "g", targetId: "", ageMs: 60_000 }],
   };
 }
 
--- a/src/node/peer/report_exchange.ts
+++ b/src/node/peer/report_exchange.ts
@@ -32,6 +32,8 @@
 const MIN_REPORT_INTERVAL_MS = 30;
 /** Maximum size of a datagram with a delta; larger deltas are fetched. */
 const MAX_DELTA_DATAGRAM_BYTES = 16_384;
+/** Maximum size of a datagram over IPv4; larger ones cannot be sent. */
+const MAX_DATAGRAM_BYTES = 65_507;
 /** Time between two periodic reports of a zone. */
 const ZONE_REPORT_INTERVAL_MS = 450;
 /** Minimum time between two reports of a zone when one is requested. */
@@ -195,6 +197,10 @@
   }
 
   #sendToAll(hosts: readonly HostAddress[], bytes: Uint8Array): void {
+    if (bytes.length > MAX_DATAGRAM_BYTES) {
+      const reason = `the datagram has ${bytes.length} bytes`;
+      return this.#options.log.warn("datagram_failed", { reason });
+    }
     for (const { peerAddress } of hosts) this.#sendDatagram(peerAddress, bytes);
   }
 
--- a/src/node/peer/report_exchange_test.ts
+++ b/src/node/peer/report_exchange_test.ts
@@ -30,6 +30,7 @@
       state: "ready",
       hasTargetPath: true,
       build: "0.1.0+1a2b3c4",
+      hasMissedReports: false,
     },
     positions: new Map(),
     documentVersion: 0,
@@ -46,6 +47,7 @@
       sinceReturnMs: Infinity,
     },
     crashReports: [],
+    rememberedCrashes: [],
   };
 }
 
