--- a/src/testing/fault_proxy.ts
+++ b/src/testing/fault_proxy.ts
@@ -30,6 +30,7 @@
   #fault: LinkFault = {};
   #sockets = new Set<Socket>();
   #serverAddress: string;
+  #port = 0;
   #server = createServer((client) => this.#accept(client));
 
   constructor(serverAddress: string) {
@@ -41,7 +42,8 @@
     await new Promise<void>((resolve) =>
       this.#server.listen(port, "127.0.0.1", resolve)
     );
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    this.#port = (this.#server.address() as AddressInfo).port;
+    return `127.0.0.1:${this.#port}`;
   }
 
   /** Replaces the faults; connections are dropped if the link goes down. */
@@ -50,6 +52,15 @@
     if (fault.cut) this.dropConnections();
   }
 
+  /** Refuses connections, as the server does while it doesn't listen. */
+  setListening(isListening: boolean): void {
+    if (isListening) this.#server.listen(this.#port, "127.0.0.1");
+    else {
+      this.#server.close();
+      this.dropConnections();
+    }
+  }
+
   /** Drops all connections. */
   dropConnections(): void {
     for (const socket of this.#sockets) destroySocket(socket);
