Reset the connection of a request that is given up

Cause: the connection of a given-up attempt was closed in order, and the kernel goes on to send what the partition has held up. It is reset now while a request is in flight, which drops these bytes; idle connections are closed in order, as nothing is held up on them. Requests that are relayed to another host use the same connections.

--- a/src/node/target/target_connection.ts
+++ b/src/node/target/target_connection.ts
@@ -39,7 +39,7 @@
     const close = (reason: string) => {
       if (this.#isClosed) return;
       this.#isClosed = true;
-      socket.destroy();
+      this.#closeSocket();
       onClosed();
       this.#detachListener()?.onBroken(reason);
     };
@@ -117,8 +117,18 @@
 
   /** Closes the connection without notifying the listener. */
   destroy(): void {
+    this.#closeSocket();
     this.#listener = undefined;
-    this.#socket.destroy();
+  }
+
+  /**
+   * Closes the socket, with a reset while a request is in flight. After an
+   * orderly close the kernel goes on to send what a partition has held up, and
+   * the target would run a request that was given up long before.
+   */
+  #closeSocket(): void {
+    if (this.#listener === undefined) this.#socket.destroy();
+    else this.#socket.resetAndDestroy();
   }
 
   #detachListener(): ConnectionListener | undefined {
