Reserve the share of hosts that are not heard of

Cause: a host's share was its present demand over the sum of all demands, with those of silent hosts as they were. As the demand rose on both sides of the cut, each side's share grew at the expense of the other's old figure.

A silent host's share is now reserved for it until the others take it over, as of the time of its last report; the hosts on a side divide the rest by their demand, so the shares of both sides add up to one whatever the demand becomes. A report is stale after 750 ms (1 s from a zone), three of its intervals, and meanwhile no part of the permitted excess is used, as hosts that don't hear of each other can't make up for each other's bursts.

--- a/src/core/limits/quotas.ts
+++ b/src/core/limits/quotas.ts
@@ -6,7 +6,9 @@
  * the same for all hosts, and a floating share in proportion to the demand that
  * the host reports. A host without recent reports from most hosts falls back to
  * its fixed share before the others take over its floating share, so a network
- * partition does not raise the total.
+ * partition does not raise the total. Meanwhile the share that a silent host had
+ * is reserved for it: the hosts on each side of a partition divide only what
+ * their side had, whatever the demand on either side becomes.
  *
  * While the demand at all hosts is below the rate, a host may exceed its
  * share, and only the sum of the requests that all hosts admit is limited.
@@ -21,6 +23,7 @@
  * @module
  */
 import type { Organisation } from "../document/document.ts";
+import { DemandHistory } from "./demand_history.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { SlidingWindowCounter } from "./sliding_window_counter.ts";
 import {
@@ -48,7 +51,9 @@
  * Age of a report above which each host that it covers is assumed to have
  * admitted at least an even share of the limit.
  */
-const STALE_REPORT_MS = 1_000;
+const STALE_REPORT_MS = 750;
+/** The same age for zones, whose reports are older when they arrive. */
+const STALE_ZONE_REPORT_MS = 1_000;
 /**
  * Time without reports from a zone after which the reports from its single
  * hosts are used again.
@@ -121,8 +126,14 @@
   demands: ReadonlyMap<string, Demand>;
   /** -Infinity for a host that has not reported yet. */
   receivedMs: number;
+  readonly isZone: boolean;
   /** Number of hosts that the report covers. */
   hostCount: number;
+  /**
+   * Total demand by organisation when the report was received, once the report
+   * is stale. The hosts that it covers may still use the share that they had.
+   */
+  totalsRequestsPerS: ReadonlyMap<string, number> | undefined;
 }
 
 /** Another host, which has a share of its own. */
@@ -146,6 +157,8 @@
   reportedRequestsPerS: number;
   /** Demand at all hosts as of the last update. */
   fleetRequestsPerS: number;
+  /** Totals of which the shares were computed. */
+  readonly totals: DemandHistory;
 }
 
 /** Result of the check of one request. */
@@ -171,6 +184,8 @@
   #startsFull: boolean;
   /** Whether this host has recent reports from most hosts. */
   #hasQuorum = false;
+  /** Whether a host that still has its share is silent. */
+  #hasStaleReport = false;
   /** Time until which this host never exceeds its share. */
   readonly #strictUntilMs: number;
 
@@ -262,7 +277,9 @@
       this.#zoneReports.set(availabilityZone, {
         demands,
         receivedMs: nowMs,
+        isZone: true,
         hostCount,
+        totalsRequestsPerS: undefined,
       });
     }
   }
@@ -332,14 +349,18 @@
       isReceivedWithin(RECLAIM_TIMEOUT_MS),
     );
     this.#hasQuorum = 2 * (reportingHostCount + 1) > hostCount;
+    this.#reserveStaleShares(currentReports, nowMs);
+    this.#hasStaleReport = currentReports.some((report) =>
+      isStale(report, nowMs)
+    );
     for (const [id, quota] of this.#quotas) {
       quota.meter.update(nowMs);
       const othersRequestsPerS = sumRequestsPerS(currentReports, id);
-      const priorRequestsPerS = PRIOR_REQUESTS_PER_S *
-        (countHosts(currentReports) + 1);
-      const demandFraction =
-        (quota.reportedRequestsPerS + PRIOR_REQUESTS_PER_S) /
-        (quota.reportedRequestsPerS + othersRequestsPerS + priorRequestsPerS);
+      const demandFraction = this.#computeDemandFraction(
+        quota,
+        currentReports,
+        nowMs,
+      );
       quota.fleetRequestsPerS = quota.meter.peakRequestsPerS +
         othersRequestsPerS;
       quota.share = FIXED_SHARE_FRACTION / hostCount +
@@ -348,6 +369,51 @@
     }
   }
 
+  /**
+   * Returns this host's fraction of the floating share: by its demand among the
+   * hosts that report, of what is not reserved for silent ones.
+   */
+  #computeDemandFraction(
+    { organisation: { id }, reportedRequestsPerS, totals }: Quota,
+    reports: readonly DemandReport[],
+    nowMs: number,
+  ): number {
+    const ownRequestsPerS = reportedRequestsPerS + PRIOR_REQUESTS_PER_S;
+    let sumRequestsPerS = ownRequestsPerS;
+    let reserved = 0;
+    for (const { demands, hostCount, totalsRequestsPerS } of reports) {
+      const requestsPerS = (demands.get(id)?.requestsPerS ?? 0) +
+        PRIOR_REQUESTS_PER_S * hostCount;
+      const totalRequestsPerS = totalsRequestsPerS?.get(id);
+      if (totalRequestsPerS === undefined) sumRequestsPerS += requestsPerS;
+      else reserved += requestsPerS / totalRequestsPerS;
+    }
+    const unreserved = Math.max(0, 1 - reserved);
+    // The total at which the hosts that report would get the same shares.
+    if (unreserved > 0) totals.record(sumRequestsPerS / unreserved, nowMs);
+    return unreserved * ownRequestsPerS / sumRequestsPerS;
+  }
+
+  /** Keeps the totals as of each report that has just become stale. */
+  #reserveStaleShares(
+    reports: readonly DemandReport[],
+    nowMs: number,
+  ): void {
+    for (const report of reports) {
+      const { receivedMs } = report;
+      if (!isStale(report, nowMs)) {
+        report.totalsRequestsPerS = undefined;
+      } else {
+        report.totalsRequestsPerS ??= new Map(
+          [...this.#quotas].flatMap(([id, { totals }]) => {
+            const total = totals.at(receivedMs);
+            return total === undefined ? [] : [[id, total] as const];
+          }),
+        );
+      }
+    }
+  }
+
   /**
    * Returns this host's demand by organisation, to be sent to the other
    * hosts. This host's shares are computed from the demand that was returned
@@ -407,6 +473,7 @@
       share,
       reportedRequestsPerS: 0,
       fleetRequestsPerS: 0,
+      totals: new DemandHistory(),
     };
   }
 
@@ -426,10 +493,11 @@
     if (fleetRequestsPerS * windowMs / 1_000 > maxAdmitted) return false;
     let admitted = window.count(nowMs);
     const evenLimit = windowLimit / (this.#peers.size + 1);
-    for (const { demands, receivedMs, hostCount } of this.#reports) {
+    for (const report of this.#reports) {
+      const { demands, receivedMs, hostCount } = report;
       const ageMs = nowMs - receivedMs;
       const demand = demands.get(organisation.id) ?? NO_DEMAND;
-      admitted += ageMs > STALE_REPORT_MS
+      admitted += isStale(report, nowMs)
         ? Math.max(evenLimit * hostCount, demand.admitted)
         : demand.admitted + demand.requestsPerS * ageMs / 1_000;
     }
@@ -477,8 +545,10 @@
   #computeFleetWindowLimit({ ratePerS, burst }: Organisation): number {
     const { windowMs, excessFraction, slackRequests } = this.#bounds;
     const statedLimit = ratePerS * windowMs / 1_000 + burst;
+    // Hosts that don't hear of each other can't make up for each other's bursts.
+    const usedFraction = this.#hasStaleReport ? 0 : USED_EXCESS_FRACTION;
     return statedLimit +
-      USED_EXCESS_FRACTION * (statedLimit * excessFraction + slackRequests);
+      usedFraction * (statedLimit * excessFraction + slackRequests);
   }
 }
 
@@ -491,10 +561,20 @@
     availabilityZone,
     demands: NO_DEMANDS,
     receivedMs: -Infinity,
+    isZone: false,
     hostCount: 1,
+    totalsRequestsPerS: undefined,
   };
 }
 
+function isStale(
+  { receivedMs, isZone }: DemandReport,
+  nowMs: number,
+): boolean {
+  const maxAgeMs = isZone ? STALE_ZONE_REPORT_MS : STALE_REPORT_MS;
+  return nowMs - receivedMs > maxAgeMs;
+}
+
 /** Number of hosts that the reports cover. */
 function countHosts(reports: readonly DemandReport[]): number {
   return reports.reduce((sum, { hostCount }) => sum + hostCount, 0);
--- a/src/core/limits/quotas_test.ts
+++ b/src/core/limits/quotas_test.ts
@@ -185,6 +185,22 @@
       hostFraction: evenly(12),
       receives: (from, to, nowMs) => nowMs < 5_000 || from < 6 === to < 6,
     },
+    "a sudden rise while three hosts are cut off from all others": {
+      hosts: 9,
+      ratePerS: 60,
+      requestsPerS: (nowMs) => nowMs > 10_500 && nowMs < 17_000 ? 450 : 60,
+      hostFraction: evenly(9),
+      receives: (from, to, nowMs) =>
+        nowMs < 10_000 || nowMs >= 18_000 || (from >= 3 && to >= 3),
+    },
+    "a rise that moves between two halves without reports of each other": {
+      hosts: 12,
+      ratePerS: 60,
+      requestsPerS: (nowMs) => nowMs > 10_500 ? 400 : 60,
+      hostFraction: (i, nowMs) =>
+        (nowMs < 13_000) === i < 6 ? 0.9 / 6 : 0.1 / 6,
+      receives: (from, to, nowMs) => nowMs < 10_000 || from < 6 === to < 6,
+    },
     "many times the rate in several zones": {
       hosts: 60,
       zones: 6,
