Hash the same part of a large body however it arrives

Cause: the fingerprint of such a body covered as much of it as had arrived when it exceeded the buffer, so it got another one each time. It covers the first MiB and the stated length now. Bodies up to 1 MiB keep their fingerprints, so hosts of two builds agree on them.

--- a/src/node/front/request_body.ts
+++ b/src/node/front/request_body.ts
@@ -98,13 +98,18 @@
   }
 
   /**
-   * Hashes method, path and the buffered body or, over the buffer limit, its
-   * buffered part. To be called before `startSending`, which releases the
-   * buffer of such a body.
+   * Hashes method, path and the body or, over the buffer limit, its length and
+   * its start, which don't depend on how much has arrived. To be called before
+   * `startSending`, which releases the buffer of such a body.
    */
   hashContent(method: string, path: string): string {
-    return createHash("sha1").update(`${method} ${path}\n`)
-      .update(this.#buffer.view()).digest("base64url");
+    const start = this.#buffer.view().subarray(0, MAX_BUFFERED_BYTES);
+    const isWhole = start.length === this.#receivedBytes;
+    const length = isWhole
+      ? ""
+      : ` ${this.#req.headers["content-length"] ?? "chunked"}`;
+    return createHash("sha1").update(`${method} ${path}${length}\n`)
+      .update(start).digest("base64url");
   }
 
   /**
