Ignore bytes of an earlier sequence in late_responses_test

The test failed in 2 of 12 runs beside other work, with a TypeError in its own target: bytes of an attempt that had been given up reached it when the next sequence had begun, whose scripts are fewer. The path names the sequence now, and the target ignores requests of another one; what the test checks is as it was.

--- a/src/node/target/late_responses_test.ts
+++ b/src/node/target/late_responses_test.ts
@@ -67,8 +67,18 @@
     `${NAMES.requestId}: ${id}\r\ncontent-length: 0\r\n\r\n`;
 }
 
-/** Starts a target that answers request `N` with script `N`. */
-async function startTarget(t: TestContext, scripts: () => readonly Script[]) {
+/** Scripts of the requests of one sequence. */
+interface Sequence {
+  readonly id: number;
+  readonly scripts: readonly Script[];
+}
+
+/**
+ * Starts a target that answers request `N` of the present sequence with script
+ * `N`. Bytes of an earlier sequence, whose attempt was given up, may still
+ * arrive; they get no answer.
+ */
+async function startTarget(t: TestContext, sequence: () => Sequence) {
   const refusedIds = new Set<string>();
   const sockets = new Set<Socket>();
   /** Connections on which a part of a response is still to come. */
@@ -81,7 +91,7 @@
     }, LATE_MS);
   };
   const answer = (socket: Socket, n: number, before: string) => {
-    const chosen = scripts()[n];
+    const chosen = sequence().scripts[n];
     const id = `r${n}`;
     const response = formatResponse(id, chosen);
     if (chosen.isRefusedFirst && !refusedIds.has(id)) {
@@ -117,13 +127,14 @@
     socket.on("error", () => {});
     let previous: number | undefined;
     socket.on("data", (chunk) => {
-      const match = /^[A-Z]+ \/(\d+) /.exec(chunk.toString("latin1"));
-      if (match === null) return;
-      const n = Number(match[1]);
+      const match = /^[A-Z]+ \/(\d+)-(\d+) /.exec(chunk.toString("latin1"));
+      const { id, scripts } = sequence();
+      if (match === null || Number(match[1]) !== id) return;
+      const n = Number(match[2]);
       const isDoubled = previous !== undefined && previous !== n &&
-        scripts()[previous].extra === "before_next";
+        scripts[previous].extra === "before_next";
       const before = isDoubled
-        ? formatResponse(`r${previous}`, scripts()[previous as number])
+        ? formatResponse(`r${previous}`, scripts[previous as number])
         : "";
       previous = n;
       answer(socket, n, before);
@@ -143,9 +154,15 @@
  * the body that was passed on.
  */
 function sendAttempt(
-  options: { address: string; pool: ConnectionPool; method: string; n: number },
+  options: {
+    address: string;
+    pool: ConnectionPool;
+    method: string;
+    sequenceId: number;
+    n: number;
+  },
 ): Promise<{ outcome: AttemptOutcome | "timed_out"; body: string }> {
-  const { address, pool, method, n } = options;
+  const { address, pool, method, sequenceId, n } = options;
   let streamed = "";
   return new Promise((resolve) => {
     const attempt = new Attempt({
@@ -155,7 +172,7 @@
       nowMs: monotonicMs,
       request: {
         method,
-        head: `${method} /${n} HTTP/1.1\r\nhost: a\r\n\r\n`,
+        head: `${method} /${sequenceId}-${n} HTTP/1.1\r\nhost: a\r\n\r\n`,
         requestId: `r${n}`,
         body: Buffer.alloc(0),
         idempotent: true,
@@ -187,14 +204,14 @@
 // Guards against a success whose bytes are those of another response on the same
 // connection, such as a late second one to an earlier request.
 test("a successful attempt has exactly the bytes of its own response", async (t) => {
-  let scripts: readonly Script[] = [];
+  let sequence: Sequence = { id: 0, scripts: [] };
   let answeredCount = 0;
-  const { address, reset } = await startTarget(t, () => scripts);
+  const { address, reset } = await startTarget(t, () => sequence);
   await fc.assert(
     fc.asyncProperty(
       fc.array(script, { minLength: 2, maxLength: 6 }),
       async (chosen) => {
-        scripts = chosen;
+        sequence = { id: sequence.id + 1, scripts: chosen };
         reset();
         const pool = new ConnectionPool({ nowMs: monotonicMs });
         try {
@@ -205,6 +222,7 @@
                 address,
                 pool,
                 method,
+                sequenceId: sequence.id,
                 n,
               });
               if (outcome !== "answered") continue;
