Limit the connections to a host's other servers

Each of these servers now has at most an eighth of the connections that callers may have; they count with those of callers, and connections that send no request are closed after 5 s.

--- a/src/core/limits/connection_limit.ts
+++ b/src/core/limits/connection_limit.ts
@@ -14,6 +14,11 @@
  * it, connections are closed without one.
  */
 const REFUSAL_FRACTION = 0.4;
+/**
+ * Part of the accepted connections that each server other than that of callers
+ * may have, such as that of lookups. They count with those of callers.
+ */
+const OTHER_SERVER_FRACTION = 1 / 8;
 /** Time between two reports of refused connections. */
 const REPORT_INTERVAL_MS = 60_000;
 
@@ -34,11 +39,19 @@
       reserved * REFUSAL_FRACTION;
   }
 
+  /** Connections that each server other than that of callers may have. */
+  get maxOtherServerConnections(): number {
+    return Math.max(
+      1,
+      Math.floor(this.#acceptedConnections * OTHER_SERVER_FRACTION),
+    );
+  }
+
   /**
-   * Decides on a connection.
+   * Decides on a connection of a caller.
    *
-   * @param openConnections Connections to callers, including the new one, and
-   * to targets and other hosts.
+   * @param openConnections Connections of callers, including the new one, those
+   * of other servers, and those to targets and other hosts.
    */
   decide(openConnections: number): ConnectionDecision {
     if (openConnections <= this.#acceptedConnections) return "accept";
--- a/src/node/entry/caller_connections.ts
+++ b/src/node/entry/caller_connections.ts
@@ -1,5 +1,6 @@
 /**
- * Decides on new connections of callers by the descriptors that are in use.
+ * Decides on new connections of callers by the descriptors that are in use, and
+ * limits those of the other servers.
  *
  * @module
  */
@@ -7,6 +8,7 @@
   type ConnectionDecision,
   ConnectionLimit,
 } from "../../core/limits/connection_limit.ts";
+import type { Server } from "node:net";
 import type { ConnectionPool } from "../target/connection_pool.ts";
 import type { Log } from "../telemetry/log.ts";
 
@@ -16,22 +18,33 @@
   readonly maxDescriptors: number;
   /** Pools whose connections take descriptors as well. */
   readonly pools: readonly ConnectionPool[];
+  /** Servers besides that of callers, whose connections are limited. */
+  readonly otherServers: readonly Server[];
   readonly log: Log;
   readonly nowMs: () => number;
 }
 
 /**
- * Creates the decision on a new connection, which takes the number of open
+ * Limits the connections of the other servers, and creates the decision on a new
+ * connection of a caller, which takes the number of open
  * connections of callers, with the new one.
  */
 export function createConnectionDecider(
-  { maxDescriptors, pools, log, nowMs }: ConnectionDeciderOptions,
+  { maxDescriptors, pools, otherServers, log, nowMs }: ConnectionDeciderOptions,
 ): (callerConnections: number) => ConnectionDecision {
   const limit = new ConnectionLimit(maxDescriptors);
+  let otherConnections = 0;
+  for (const server of otherServers) {
+    server.maxConnections = limit.maxOtherServerConnections;
+    server.on("connection", (socket) => {
+      otherConnections += 1;
+      socket.once("close", () => otherConnections -= 1);
+    });
+  }
   return (callerConnections) => {
     const openConnections = pools.reduce(
       (sum, { establishedCount }) => sum + establishedCount,
-      callerConnections,
+      callerConnections + otherConnections,
     );
     const decision = limit.decide(openConnections);
     if (decision !== "accept" && limit.takeReport(nowMs())) {
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -350,17 +350,6 @@
     isTaskOwner: (task) => fleetReports.isTaskOwner(task),
     requestReport: () => reportExchange.requestReport(),
   });
-  const callerServer = createCallerServer(
-    (req, res) => handler.handle(req, res),
-    {
-      decideConnection: createConnectionDecider({
-        maxDescriptors: findMaxDescriptors(settings.limits.maxDescriptors),
-        pools: [pool, relayPool],
-        log,
-        nowMs,
-      }),
-    },
-  );
   const endpoints = new HostEndpoints({
     self,
     build: BUILD_VERSION,
@@ -390,6 +379,18 @@
     describe: () => endpoints.describe(),
     handleRelayed: (req, res, relay) => handler.handle(req, res, relay),
   });
+  const callerServer = createCallerServer(
+    (req, res) => handler.handle(req, res),
+    {
+      decideConnection: createConnectionDecider({
+        maxDescriptors: findMaxDescriptors(settings.limits.maxDescriptors),
+        pools: [pool, relayPool],
+        otherServers: [lookupServer, readinessServer, peerServer],
+        log,
+        nowMs,
+      }),
+    },
+  );
   const registration = new HostRegistration({
     self,
     store,
--- a/src/node/front/endpoint_server.ts
+++ b/src/node/front/endpoint_server.ts
@@ -12,6 +12,13 @@
 } from "node:http";
 import createRouter from "find-my-way";
 
+/** Connections that send no request are closed, as their number is limited. */
+export const ENDPOINT_SERVER_OPTIONS = {
+  headersTimeout: 5_000,
+  requestTimeout: 10_000,
+  connectionsCheckingInterval: 1_000,
+} as const;
+
 /** Handles a GET request to the path of an endpoint. */
 export type EndpointHandler = (
   req: IncomingMessage,
@@ -44,5 +51,8 @@
       );
     });
   }
-  return createServer((req, res) => router.lookup(req, res));
+  return createServer(
+    ENDPOINT_SERVER_OPTIONS,
+    (req, res) => router.lookup(req, res),
+  );
 }
--- a/src/node/peer/peer_service.ts
+++ b/src/node/peer/peer_service.ts
@@ -18,6 +18,7 @@
 } from "../../core/store/types.ts";
 import { refuseMalformedRequests } from "../front/caller_connection.ts";
 import { FORWARDING_SERVER_OPTIONS } from "../front/caller_server.ts";
+import { ENDPOINT_SERVER_OPTIONS } from "../front/endpoint_server.ts";
 import { RELAYED_ATTEMPTS_HEADER } from "../front/headers.ts";
 import { createPeerListener, fetchObjects } from "./peer_calls.ts";
 
@@ -43,7 +44,8 @@
  */
 export function createPeerServer(handlers: PeerHandlers): Server {
   const handleCall = createPeerListener(handlers);
-  const server = createServer({ ...FORWARDING_SERVER_OPTIONS }, (req, res) => {
+  const options = { ...ENDPOINT_SERVER_OPTIONS, ...FORWARDING_SERVER_OPTIONS };
+  const server = createServer(options, (req, res) => {
     const attempts = req.headers[RELAYED_ATTEMPTS_HEADER];
     if (attempts !== undefined) {
       const relayedAttempts = Math.max(1, Number(attempts) || 1);
