Bound the hosts that datagrams name

Hosts that are silent for long are still not forgotten: in a cut of an hour, the hosts on the other side keep their fixed share. The test of membership_test names 10,000 hosts and fails on the code before, which kept all.

--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -18,6 +18,12 @@
  */
 const DELEGATES_MIN_PEERS = 24;
 
+/**
+ * Hosts that are remembered without a registration, to bound memory. A fleet of
+ * this size registers itself within seconds.
+ */
+const MAX_UNREGISTERED = 4_096;
+
 /** Silence of a delegate after which the next host of its zone takes over. */
 const DELEGATE_TIMEOUT_MS = 700;
 
@@ -45,11 +51,17 @@
   /**
    * Records a report, received directly or forwarded by another host.
    *
-   * @returns Whether the report supersedes the last one of that host.
+   * @returns Whether the report supersedes the last one of that host. One of a
+   * host that isn't registered is ignored if there are too many of them.
    */
   recordReport(record: HostRecord, nowMs: number): boolean {
     if (record.id === this.#self.id) return false;
     const peer = this.#peers.get(record.id);
+    const isUnregistered = peer === undefined &&
+      !this.#registered.has(record.id);
+    if (isUnregistered && this.#unregisteredCount >= MAX_UNREGISTERED) {
+      return false;
+    }
     if (peer !== undefined) {
       const silenceMs = nowMs - peer.lastReportMs;
       if (!supersedes(record, peer.record, silenceMs)) return false;
@@ -58,9 +70,7 @@
     if (peer?.record.startedMs !== record.startedMs) {
       this.#allPeers = undefined;
     }
-    if (peer === undefined && !this.#registered.has(record.id)) {
-      this.#unregisteredCount += 1;
-    }
+    if (isUnregistered) this.#unregisteredCount += 1;
     if (
       peer?.record.state !== record.state ||
       peer.record.hasTargetPath !== record.hasTargetPath
--- a/src/core/membership/membership_test.ts
+++ b/src/core/membership/membership_test.ts
@@ -150,3 +150,15 @@
   assert.equal(membership.peers().length, 19);
   assert.equal(membership.usesDelegates, false);
 });
+
+// Guards against datagrams that name hosts without end, which fill the memory.
+test("the number of hosts that are not registered is bounded", () => {
+  const membership = new Membership(host("a", 0));
+  for (let n = 1; n <= 10_000; n++) membership.recordReport(host("b", n), 0);
+  assert.equal(membership.peers().length, 4_096);
+  assert.equal(membership.recordReport(host("c", 1), 0), false);
+  membership.setRegistered([host("c", 1)]);
+  assert.equal(membership.recordReport(host("c", 1), 0), true);
+  const next = { ...host("b", 1), sequence: 2 };
+  assert.equal(membership.recordReport(next, 0), true);
+});
--- a/src/node/entry/fleet_reports.ts
+++ b/src/node/entry/fleet_reports.ts
@@ -231,8 +231,11 @@
     this.#mergeStopsAndCrashes(report, id);
   }
 
-  /** Applies the summary of another zone. */
-  applyZoneSummary(summary: ZoneSummary): void {
+  /**
+   * Applies the summary of another zone. Returns false if its author is not a
+   * known host of the zone; only its hosts are applied then.
+   */
+  applyZoneSummary(summary: ZoneSummary): boolean {
     const { membership, quotas, counts, releases, nowMs } = this.#options;
     const { availabilityZone, authorId } = summary;
     const atMs = nowMs();
@@ -255,13 +258,16 @@
       });
     }
     if (isNewProcess || isRepeated) this.#repeatReports({ isNewProcess });
-    if (!membership.usesDelegates) return;
+    const author = membership.get(authorId)?.record;
+    if (author?.availabilityZone !== availabilityZone) return false;
+    if (!membership.usesDelegates) return true;
     quotas.recordZoneDemands(availabilityZone, summary.demands, atMs);
     counts.setZoneCounts(availabilityZone, summary.counts);
     releases.recordProgress(summary.releases, atMs);
     this.#recordLimits(summary.limits, authorId);
     this.#recordLeaving(summary.leavingTargets, authorId);
     this.#mergeStopsAndCrashes(summary, authorId);
+    return true;
   }
 
   /** Returns the status of the other live hosts. */
--- a/src/node/peer/report_exchange.ts
+++ b/src/node/peer/report_exchange.ts
@@ -9,6 +9,7 @@
 import { once } from "node:events";
 import {
   type Membership,
+  type ReportOrder,
   supersedes,
 } from "../../core/membership/membership.ts";
 import type { HostReport } from "../../core/membership/report.ts";
@@ -55,8 +56,11 @@
   readonly summarizeZone: (ownReport: HostReport) => ZoneSummary;
   /** Called with each report of another host. */
   readonly onReport: (report: HostReport) => void;
-  /** Called with each summary of another zone that is newer than the last. */
-  readonly onZoneSummary: (summary: ZoneSummary) => void;
+  /**
+   * Called with each summary of another zone that is newer than the last.
+   * Returns false if its author is not a known host of the zone.
+   */
+  readonly onZoneSummary: (summary: ZoneSummary) => boolean;
   /**
    * Called with changes of the store that another host forwards. Returns
    * whether any of them was new to this host.
@@ -68,10 +72,10 @@
 export class ReportExchange {
   readonly #options: ReportExchangeOptions;
   readonly #socket: Socket;
-  /** Newest zone report by the id of its author. */
+  /** Order of the newest zone report by the id of its author. */
   readonly #zoneReports = new Map<
     string,
-    { report: ZoneReport; receivedMs: number }
+    { order: ReportOrder; receivedMs: number }
   >();
   #timer: NodeJS.Timeout | undefined;
   #lastReportMs = -Infinity;
@@ -260,15 +264,17 @@
     const receivedMs = nowMs();
     if (
       current !== undefined &&
-      !supersedes(zoneReport, current.report, receivedMs - current.receivedMs)
+      !supersedes(zoneReport, current.order, receivedMs - current.receivedMs)
     ) return;
     const summary = this.#decode(() => decodeZoneSummary(zoneReport));
     if (summary === undefined) return;
-    this.#zoneReports.set(zoneReport.authorId, {
-      report: zoneReport,
+    const { authorId, startedMs, sequence } = zoneReport;
+    // An author that isn't known after its summary was applied is one too many.
+    if (!onZoneSummary(summary)) return;
+    this.#zoneReports.set(authorId, {
+      order: { startedMs, sequence },
       receivedMs,
     });
-    onZoneSummary(summary);
     if (!membership.isDelegate(receivedMs)) return;
     this.#sendToAll(
       membership.directPeers(),
--- a/src/node/peer/report_exchange_test.ts
+++ b/src/node/peer/report_exchange_test.ts
@@ -82,7 +82,7 @@
       if (id === "faulty") throw new Error("unexpected");
       handled.push(id);
     },
-    onZoneSummary() {},
+    onZoneSummary: () => true,
     onPushedDelta: () => false,
   });
   const received = new Promise<number>((resolve) =>
