Don't refuse a request within its own response

When the rest of a request's body is malformed after its response has begun, or waits for its turn, the refusal would have been written into or after that response. A response that is streamed is broken off now, and any other one is the last on its connection. The test of caller_connection_test covers the part of the connection; that of the request handler is by reading.

An idle connection no longer keeps the request that it carried last.

--- a/src/node/entry/request_handler.ts
+++ b/src/node/entry/request_handler.ts
@@ -155,7 +155,7 @@
     const isHandled = connection.add(
       req,
       res,
-      () => this.#handleClose(exchange),
+      () => this.#cancelUnreadable(exchange),
     );
     if (!isHandled) return void req.resume();
     this.#exchanges.set(id, exchange);
@@ -356,6 +356,23 @@
     this.#writeRefusal(exchange, refusal);
   }
 
+  /**
+   * Cancels a request whose body cannot be read any further. Returns false if it
+   * has a response, which may still wait for its turn; one that is streamed is
+   * broken off.
+   */
+  #cancelUnreadable(exchange: HttpExchange): boolean {
+    const { res, end } = exchange;
+    if (end !== "") return false;
+    if (!res.headersSent) {
+      this.#handleClose(exchange);
+      return true;
+    }
+    exchange.end = "broken";
+    res.destroy();
+    return false;
+  }
+
   /** Whether to close the connection after a response that is written next. */
   #closesConnection(
     { req, res }: HttpExchange,
--- a/src/node/front/caller_connection.ts
+++ b/src/node/front/caller_connection.ts
@@ -22,7 +22,8 @@
   /** Number of the request on its connection. */
   readonly number: number;
   readonly req: IncomingMessage;
-  readonly cancel: () => void;
+  /** See `CallerConnection.add`. */
+  readonly cancel: () => boolean;
 }
 
 const connections = new WeakMap<Socket, CallerConnection>();
@@ -65,6 +66,8 @@
   readonly #socket: Socket;
   readonly #requests = new PipelinedRequests();
   readonly #numbers = new WeakMap<ServerResponse, number>();
+  #requestCount = 0;
+  /** The newest request, unless it was received and answered completely. */
   #newest: NumberedRequest | undefined;
   /** Called when no response is outstanding any more. */
   #onIdle: (() => void) | undefined;
@@ -86,18 +89,20 @@
    * false if it must not be handled, as it comes behind a response that closes
    * the connection.
    *
-   * @param cancel Called when the rest of the request cannot be read, which then
-   * gets no response of its own.
+   * @param cancel Called when the rest of the request cannot be read. Returns
+   * whether the request was cancelled, and is refused; false if it has a response
+   * already.
    */
   add(
     req: IncomingMessage,
     res: ServerResponse,
-    cancel: () => void = () => {},
+    cancel: () => boolean = () => true,
   ): boolean {
     const knownNumber = this.#numbers.get(res);
     if (knownNumber !== undefined) return this.#requests.has(knownNumber);
-    const number = 1 + (this.#newest?.number ?? 0);
+    const number = this.#requestCount + 1;
     if (!this.#requests.add(number)) return false;
+    this.#requestCount = number;
     this.#numbers.set(res, number);
     this.#newest = { number, req, cancel };
     res.once("close", () => this.#remove(number));
@@ -123,18 +128,14 @@
   refuseRest(kind: ErrorKind): void {
     if (this.#requests.isClosing) return;
     const newest = this.#newest;
-    const isWithinRequest = newest !== undefined && !newest.req.complete;
-    if (isWithinRequest && !this.#requests.has(newest.number)) {
-      // The request was answered before its body was complete.
-      return this.closeAfterResponses();
+    if (newest !== undefined && !newest.req.complete) {
+      const isAnswered = !this.#requests.has(newest.number);
+      if (isAnswered || !newest.cancel()) return this.closeAfterResponses();
+      this.#requests.remove(newest.number);
     }
     this.#closeWhenIdle(() =>
       this.#socket.write(formatRawRefusal(kind, Math.random))
     );
-    if (isWithinRequest) {
-      newest.cancel();
-      this.#remove(newest.number);
-    }
     this.#runIfIdle();
   }
 
@@ -147,6 +148,8 @@
 
   #remove(number: number): void {
     this.#requests.remove(number);
+    const { number: newestNumber, req } = this.#newest ?? {};
+    if (newestNumber === number && req?.complete) this.#newest = undefined;
     this.#runIfIdle();
   }
 
--- a/src/node/front/caller_connection_test.ts
+++ b/src/node/front/caller_connection_test.ts
@@ -28,7 +28,7 @@
   const server: Server = createCallerServer((req, res) => {
     const { url = "" } = req;
     const isHandled = getCallerConnection(req.socket)
-      .add(req, res, () => cancelled.push(url));
+      .add(req, res, () => cancelled.push(url) > 0);
     if (!isHandled) return;
     responses.push(res);
     req.on("end", () => responses.length > 1 && res.end("later")).resume();
@@ -93,6 +93,35 @@
   matchSnapshot(t, results);
 });
 
+// Guards against a refusal that is written into a response that has begun, when the
+// rest of its request is malformed.
+test("a request with a response is not refused as well", async (t) => {
+  const server = createCallerServer((req, res) => {
+    const cancel = () => {
+      res.destroy();
+      return false;
+    };
+    getCallerConnection(req.socket).add(req, res, cancel);
+    res.writeHead(200);
+    res.write("begun");
+    req.resume();
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+  socket.on("error", () => {});
+  t.after(() => server.close());
+  const reading = readAll(socket);
+  socket.write(
+    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+  );
+  await new Promise((done) => setTimeout(done, 100));
+  socket.write("zz\r\n");
+  const received = await reading;
+  assert.match(received, /^HTTP\/1\.1 200 .*begun/s);
+  assert.doesNotMatch(received, /HTTP\/1\.1 400/);
+});
+
 // Guards against a reset that takes a part of a closing response from a caller
 // that has sent further requests.
 test("a caller that still sends gets the whole closing response", async (t) => {
