--- /dev/null
+++ b/src/core/limits/demand_shares.ts
@@ -0,0 +1,71 @@
+/**
+ * Division of the floating share of a rate by the demand of the hosts.
+ *
+ * The share that a silent host had is reserved for it, as it may still use it:
+ * the hosts on each side of a partition divide only what their side had.
+ *
+ * @module
+ */
+import type { DemandHistory } from "./demand_history.ts";
+import { type DemandReport, isStale } from "./demand_reports.ts";
+
+/**
+ * Rate that is added to each host's demand, so that at low demand a few random
+ * requests hardly change the shares.
+ */
+const PRIOR_REQUESTS_PER_S = 0.5;
+
+/** Demand of an organisation, as far as its shares depend on it. */
+export interface SharedDemand {
+  readonly organisationId: string;
+  /** Demand in this host's last report. */
+  readonly reportedRequestsPerS: number;
+  /** Totals of which the shares were computed. */
+  readonly totals: DemandHistory;
+}
+
+/**
+ * Returns this host's fraction of the floating share: by its demand among the
+ * hosts that report, of what is not reserved for silent ones.
+ */
+export function computeDemandFraction(
+  { organisationId, reportedRequestsPerS, totals }: SharedDemand,
+  reports: readonly DemandReport[],
+  nowMs: number,
+): number {
+  const ownRequestsPerS = reportedRequestsPerS + PRIOR_REQUESTS_PER_S;
+  let sumRequestsPerS = ownRequestsPerS;
+  let reserved = 0;
+  for (const { demands, hostCount, totalsRequestsPerS } of reports) {
+    const requestsPerS = (demands.get(organisationId)?.requestsPerS ?? 0) +
+      PRIOR_REQUESTS_PER_S * hostCount;
+    const totalRequestsPerS = totalsRequestsPerS?.get(organisationId);
+    if (totalRequestsPerS === undefined) sumRequestsPerS += requestsPerS;
+    else reserved += requestsPerS / totalRequestsPerS;
+  }
+  const unreserved = Math.max(0, 1 - reserved);
+  // The total at which the hosts that report would get the same shares.
+  if (unreserved > 0) totals.record(sumRequestsPerS / unreserved, nowMs);
+  return unreserved * ownRequestsPerS / sumRequestsPerS;
+}
+
+/** Keeps the totals as of each report that has just become stale. */
+export function reserveStaleShares(
+  reports: readonly DemandReport[],
+  totalsById: ReadonlyMap<string, { readonly totals: DemandHistory }>,
+  nowMs: number,
+): void {
+  for (const report of reports) {
+    const { receivedMs } = report;
+    if (!isStale(report, nowMs)) {
+      report.totalsRequestsPerS = undefined;
+    } else {
+      report.totalsRequestsPerS ??= new Map(
+        [...totalsById].flatMap(([id, { totals }]) => {
+          const total = totals.at(receivedMs);
+          return total === undefined ? [] : [[id, total] as const];
+        }),
+      );
+    }
+  }
+}
--- a/src/core/limits/quotas.ts
+++ b/src/core/limits/quotas.ts
@@ -24,6 +24,17 @@
  */
 import type { Organisation } from "../document/document.ts";
 import { DemandHistory } from "./demand_history.ts";
+import {
+  countHosts,
+  type Demand,
+  type DemandReport,
+  DemandReports,
+  isStale,
+  type QuotaPeer,
+  RECLAIM_TIMEOUT_MS,
+  sumRequestsPerS,
+} from "./demand_reports.ts";
+import { computeDemandFraction, reserveStaleShares } from "./demand_shares.ts";
 import { DemandMeter } from "./demand_meter.ts";
 import { SlidingWindowCounter } from "./sliding_window_counter.ts";
 import {
@@ -42,28 +53,6 @@
  * share. Shorter than RECLAIM_TIMEOUT_MS, so that no share is used twice.
  */
 export const ISOLATION_TIMEOUT_MS = 8_000;
-/**
- * Time without reports from a host after which the others use its floating
- * share.
- */
-export const RECLAIM_TIMEOUT_MS = 12_000;
-/**
- * Age of a report above which each host that it covers is assumed to have
- * admitted at least an even share of the limit.
- */
-const STALE_REPORT_MS = 750;
-/** The same age for zones, whose reports are older when they arrive. */
-const STALE_ZONE_REPORT_MS = 1_000;
-/**
- * Time without reports from a zone after which the reports from its single
- * hosts are used again.
- */
-const ZONE_REPORT_TIMEOUT_MS = 2 * RECLAIM_TIMEOUT_MS;
-/**
- * Rate that is added to each host's demand, so that at low demand a few random
- * requests hardly change the shares.
- */
-const PRIOR_REQUESTS_PER_S = 0.5;
 /**
  * Fraction of the limit on all hosts together below which a host may exceed its
  * share.
@@ -112,36 +101,6 @@
   readonly slackRequests: number;
 }
 
-/** Demand of one organisation at one host or at all hosts of a zone. */
-export interface Demand {
-  /** Requests that callers send per second, admitted or not. */
-  readonly requestsPerS: number;
-  /** Requests that were admitted in the last window. */
-  readonly admitted: number;
-}
-
-/** Last report from another host, or from a zone for all its hosts. */
-interface DemandReport {
-  /** Demand by organisation. */
-  demands: ReadonlyMap<string, Demand>;
-  /** -Infinity for a host that has not reported yet. */
-  receivedMs: number;
-  readonly isZone: boolean;
-  /** Number of hosts that the report covers. */
-  hostCount: number;
-  /**
-   * Total demand by organisation when the report was received, once the report
-   * is stale. The hosts that it covers may still use the share that they had.
-   */
-  totalsRequestsPerS: ReadonlyMap<string, number> | undefined;
-}
-
-/** Another host, which has a share of its own. */
-export interface QuotaPeer {
-  readonly id: string;
-  readonly availabilityZone: string;
-}
-
 /** State of one organisation's limit at this host. */
 interface Quota {
   organisation: Organisation;
@@ -169,17 +128,13 @@
 }
 
 const ADMITTED: QuotaDecision = { isAdmitted: true, retryAfterMs: 0 };
-const NO_DEMANDS: ReadonlyMap<string, Demand> = new Map();
 const NO_DEMAND: Demand = { requestsPerS: 0, admitted: 0 };
 
 /** Rate limits of all organisations, as one host applies them. */
 export class Quotas {
   readonly #bounds: QuotaBounds;
   #quotas = new Map<string, Quota>();
-  #peers = new Map<string, DemandReport & QuotaPeer>();
-  #zoneReports = new Map<string, DemandReport>();
-  /** One report for each zone that reports as a whole, else for each host. */
-  #reports: DemandReport[] = [];
+  readonly #reports = new DemandReports();
   /** Whether new buckets start full. */
   #startsFull: boolean;
   /** Whether this host has recent reports from most hosts. */
@@ -224,34 +179,12 @@
 
   /** Sets the other hosts, also those that have not reported yet. */
   setPeers(peers: readonly QuotaPeer[]): void {
-    const previous = this.#peers;
-    this.#peers = new Map(
-      peers.map((peer) => [
-        peer.id,
-        previous.get(peer.id) ?? createPeerReport(peer),
-      ]),
-    );
-    const zones = new Set(
-      peers.map(({ availabilityZone }) => availabilityZone),
-    );
-    for (const zone of this.#zoneReports.keys()) {
-      if (!zones.has(zone)) this.#zoneReports.delete(zone);
-    }
-    // With this time no zone report has expired; `update` checks their ages.
-    this.#reports = this.#selectReports(-Infinity);
+    this.#reports.setPeers(peers);
   }
 
   /** Adds another host; a known one is left as it is. */
   addPeer(peer: QuotaPeer): void {
-    if (this.#peers.has(peer.id)) return;
-    const report = createPeerReport(peer);
-    this.#peers.set(peer.id, report);
-    const zone = this.#zoneReports.get(peer.availabilityZone);
-    if (zone === undefined) this.#reports.push(report);
-    else {
-      if (zone.hostCount === 0) this.#reports.push(zone);
-      zone.hostCount += 1;
-    }
+    this.#reports.addPeer(peer);
   }
 
   /** Records a report from another host; unknown hosts are ignored. */
@@ -260,8 +193,7 @@
     demands: ReadonlyMap<string, Demand>,
     nowMs: number,
   ): void {
-    const peer = this.#peers.get(hostId);
-    if (peer !== undefined) Object.assign(peer, { demands, receivedMs: nowMs });
+    this.#reports.recordPeer(hostId, demands, nowMs);
   }
 
   /** Records a report from a zone, summed over its hosts. */
@@ -270,18 +202,7 @@
     demands: ReadonlyMap<string, Demand>,
     nowMs: number,
   ): void {
-    const zone = this.#zoneReports.get(availabilityZone);
-    if (zone !== undefined) Object.assign(zone, { demands, receivedMs: nowMs });
-    else {
-      const hostCount = 0;
-      this.#zoneReports.set(availabilityZone, {
-        demands,
-        receivedMs: nowMs,
-        isZone: true,
-        hostCount,
-        totalsRequestsPerS: undefined,
-      });
-    }
+    this.#reports.recordZone(availabilityZone, demands, nowMs);
   }
 
   /**
@@ -337,27 +258,32 @@
    * second.
    */
   update(nowMs: number): void {
-    this.#reports = this.#selectReports(nowMs);
-    const hostCount = this.#peers.size + 1;
+    this.#reports.update(nowMs);
+    const { selected, peerCount } = this.#reports;
+    const hostCount = peerCount + 1;
     const isReceivedWithin =
       (maxAgeMs: number) => ({ receivedMs }: DemandReport) =>
         nowMs - receivedMs < maxAgeMs;
     const reportingHostCount = countHosts(
-      this.#reports.filter(isReceivedWithin(ISOLATION_TIMEOUT_MS)),
+      selected.filter(isReceivedWithin(ISOLATION_TIMEOUT_MS)),
     );
-    const currentReports = this.#reports.filter(
+    const currentReports = selected.filter(
       isReceivedWithin(RECLAIM_TIMEOUT_MS),
     );
     this.#hasQuorum = 2 * (reportingHostCount + 1) > hostCount;
-    this.#reserveStaleShares(currentReports, nowMs);
+    reserveStaleShares(currentReports, this.#quotas, nowMs);
     this.#hasStaleReport = currentReports.some((report) =>
       isStale(report, nowMs)
     );
     for (const [id, quota] of this.#quotas) {
       quota.meter.update(nowMs);
       const othersRequestsPerS = sumRequestsPerS(currentReports, id);
-      const demandFraction = this.#computeDemandFraction(
-        quota,
+      const demandFraction = computeDemandFraction(
+        {
+          organisationId: id,
+          reportedRequestsPerS: quota.reportedRequestsPerS,
+          totals: quota.totals,
+        },
         currentReports,
         nowMs,
       );
@@ -369,51 +295,6 @@
     }
   }
 
-  /**
-   * Returns this host's fraction of the floating share: by its demand among the
-   * hosts that report, of what is not reserved for silent ones.
-   */
-  #computeDemandFraction(
-    { organisation: { id }, reportedRequestsPerS, totals }: Quota,
-    reports: readonly DemandReport[],
-    nowMs: number,
-  ): number {
-    const ownRequestsPerS = reportedRequestsPerS + PRIOR_REQUESTS_PER_S;
-    let sumRequestsPerS = ownRequestsPerS;
-    let reserved = 0;
-    for (const { demands, hostCount, totalsRequestsPerS } of reports) {
-      const requestsPerS = (demands.get(id)?.requestsPerS ?? 0) +
-        PRIOR_REQUESTS_PER_S * hostCount;
-      const totalRequestsPerS = totalsRequestsPerS?.get(id);
-      if (totalRequestsPerS === undefined) sumRequestsPerS += requestsPerS;
-      else reserved += requestsPerS / totalRequestsPerS;
-    }
-    const unreserved = Math.max(0, 1 - reserved);
-    // The total at which the hosts that report would get the same shares.
-    if (unreserved > 0) totals.record(sumRequestsPerS / unreserved, nowMs);
-    return unreserved * ownRequestsPerS / sumRequestsPerS;
-  }
-
-  /** Keeps the totals as of each report that has just become stale. */
-  #reserveStaleShares(
-    reports: readonly DemandReport[],
-    nowMs: number,
-  ): void {
-    for (const report of reports) {
-      const { receivedMs } = report;
-      if (!isStale(report, nowMs)) {
-        report.totalsRequestsPerS = undefined;
-      } else {
-        report.totalsRequestsPerS ??= new Map(
-          [...this.#quotas].flatMap(([id, { totals }]) => {
-            const total = totals.at(receivedMs);
-            return total === undefined ? [] : [[id, total] as const];
-          }),
-        );
-      }
-    }
-  }
-
   /**
    * Returns this host's demand by organisation, to be sent to the other
    * hosts. This host's shares are computed from the demand that was returned
@@ -438,29 +319,8 @@
     return this.#quotas.get(organisationId)?.share ?? 1;
   }
 
-  /**
-   * Returns one report for each zone that reports as a whole, else for each
-   * host. Sets the host counts of the zone reports.
-   */
-  #selectReports(nowMs: number): DemandReport[] {
-    for (const zone of this.#zoneReports.values()) zone.hostCount = 0;
-    const reports: DemandReport[] = [];
-    for (const peer of this.#peers.values()) {
-      const zone = this.#zoneReports.get(peer.availabilityZone);
-      if (
-        zone === undefined || nowMs - zone.receivedMs > ZONE_REPORT_TIMEOUT_MS
-      ) {
-        reports.push(peer);
-        continue;
-      }
-      if (zone.hostCount === 0) reports.push(zone);
-      zone.hostCount += 1;
-    }
-    return reports;
-  }
-
   #createQuota(organisation: Organisation, nowMs: number): Quota {
-    const share = 1 / (this.#peers.size + 1);
+    const share = 1 / (this.#reports.peerCount + 1);
     const limits = this.#computeBucketLimits({ organisation, share }, nowMs);
     const bucket = createBucket(limits, nowMs);
     if (this.#startsFull) bucket.tokens = bucket.capacity;
@@ -487,13 +347,13 @@
     const windowLimit = this.#computeFleetWindowLimit(organisation);
     const { windowMs } = this.#bounds;
     const maxAdmitted = windowLimit *
-      (this.#zoneReports.size > 0
+      (this.#reports.hasZones
         ? ZONED_EXCEED_SHARE_BELOW_FRACTION
         : EXCEED_SHARE_BELOW_FRACTION);
     if (fleetRequestsPerS * windowMs / 1_000 > maxAdmitted) return false;
     let admitted = window.count(nowMs);
-    const evenLimit = windowLimit / (this.#peers.size + 1);
-    for (const report of this.#reports) {
+    const evenLimit = windowLimit / (this.#reports.peerCount + 1);
+    for (const report of this.#reports.selected) {
       const { demands, receivedMs, hostCount } = report;
       const ageMs = nowMs - receivedMs;
       const demand = demands.get(organisation.id) ?? NO_DEMAND;
@@ -502,12 +362,12 @@
         : demand.admitted + demand.requestsPerS * ageMs / 1_000;
     }
     if (admitted >= maxAdmitted) return false;
-    return this.#zoneReports.size === 0 ||
+    return !this.#reports.hasZones ||
       quota.unreported.count(nowMs) < Math.max(
           MIN_UNREPORTED_LIMIT_REQUESTS,
           UNREPORTED_LIMIT_RATIO * quota.reportedRequestsPerS *
             UNREPORTED_WINDOW_MS / 1_000,
-          (maxAdmitted - admitted) / (this.#peers.size + 1),
+          (maxAdmitted - admitted) / (this.#reports.peerCount + 1),
         );
   }
 
@@ -551,41 +411,3 @@
       usedFraction * (statedLimit * excessFraction + slackRequests);
   }
 }
-
-/** Creates the entry of a host that has not reported yet. */
-function createPeerReport(
-  { id, availabilityZone }: QuotaPeer,
-): DemandReport & QuotaPeer {
-  return {
-    id,
-    availabilityZone,
-    demands: NO_DEMANDS,
-    receivedMs: -Infinity,
-    isZone: false,
-    hostCount: 1,
-    totalsRequestsPerS: undefined,
-  };
-}
-
-function isStale(
-  { receivedMs, isZone }: DemandReport,
-  nowMs: number,
-): boolean {
-  const maxAgeMs = isZone ? STALE_ZONE_REPORT_MS : STALE_REPORT_MS;
-  return nowMs - receivedMs > maxAgeMs;
-}
-
-/** Number of hosts that the reports cover. */
-function countHosts(reports: readonly DemandReport[]): number {
-  return reports.reduce((sum, { hostCount }) => sum + hostCount, 0);
-}
-
-/** Requests per second of an organisation, summed over the reports. */
-function sumRequestsPerS(
-  reports: readonly DemandReport[],
-  id: string,
-): number {
-  let sum = 0;
-  for (const { demands } of reports) sum += demands.get(id)?.requestsPerS ?? 0;
-  return sum;
-}
--- a/src/core/limits/quotas_test.ts
+++ b/src/core/limits/quotas_test.ts
@@ -2,12 +2,8 @@
 import { test } from "node:test";
 import { createSeededRandom } from "../../testing/random.ts";
 import { sampleOrganisation } from "../../testing/samples.ts";
-import {
-  type Demand,
-  ISOLATION_TIMEOUT_MS,
-  Quotas,
-  RECLAIM_TIMEOUT_MS,
-} from "./quotas.ts";
+import { type Demand, RECLAIM_TIMEOUT_MS } from "./demand_reports.ts";
+import { ISOLATION_TIMEOUT_MS, Quotas } from "./quotas.ts";
 
 const BOUNDS = { windowMs: 5_000, excessFraction: 0.1, slackRequests: 20 };
 const REPORT_INTERVAL_MS = 250;
--- a/src/core/membership/zone_summary.ts
+++ b/src/core/membership/zone_summary.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import type { CrashReport } from "../crashes/crash_memory.ts";
-import type { Demand } from "../limits/quotas.ts";
+import type { Demand } from "../limits/demand_reports.ts";
 import type {
   ReleaseProgress,
   StoppedVersion,
--- a/src/node/peer/report_codec.ts
+++ b/src/node/peer/report_codec.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
-import type { Demand } from "../../core/limits/quotas.ts";
+import type { Demand } from "../../core/limits/demand_reports.ts";
 import type { HostReport } from "../../core/membership/report.ts";
 import type { HostState } from "../../core/membership/types.ts";
 import type { ZoneSummary } from "../../core/membership/zone_summary.ts";
