--- a/src/node/entry/fleet_reports.ts
+++ b/src/node/entry/fleet_reports.ts
@@ -10,14 +10,9 @@
 } from "../../core/crashes/crash_memory.ts";
 import type { Quotas } from "../../core/limits/quotas.ts";
 import type { Membership } from "../../core/membership/membership.ts";
-import { MissedReports } from "../../core/membership/missed_reports.ts";
 import type { HostReport } from "../../core/membership/report.ts";
 import { Rotation } from "../../core/membership/rotation.ts";
-import type {
-  HostAddress,
-  HostRecord,
-  HostState,
-} from "../../core/membership/types.ts";
+import type { HostAddress, HostState } from "../../core/membership/types.ts";
 import {
   summarizeZone,
   type ZoneSummary,
@@ -34,6 +29,7 @@
 } from "../../core/targets/limit_reports.ts";
 import type { TargetTable } from "../../core/targets/target_table.ts";
 import type { Log } from "../telemetry/log.ts";
+import { type PeerContact, PeerContacts } from "./peer_contacts.ts";
 import type { PeerStatus, StoreReplica } from "./store_replica.ts";
 
 /** Time for which more is reported after another host has missed reports. */
@@ -88,13 +84,8 @@
   readonly #options: FleetReportsOptions;
   readonly #reports = new Map<string, HostReport>();
   readonly #peerStatuses = new Map<string, PeerStatus>();
-  /** Last known process of each host. */
-  readonly #peerProcesses = new Map<
-    string,
-    Pick<HostRecord, "startedMs" | "build">
-  >();
+  readonly #contacts: PeerContacts;
   readonly #crashMemory = new CrashMemory();
-  readonly #missedReports: MissedReports;
   readonly #rotations = {
     limits: new Rotation(),
     zoneLimits: new Rotation(),
@@ -107,7 +98,7 @@
 
   constructor(options: FleetReportsOptions) {
     this.#options = options;
-    this.#missedReports = new MissedReports(options.nowMs());
+    this.#contacts = new PeerContacts(options);
   }
 
   /** Whether requests with this fingerprint are blocked. */
@@ -117,7 +108,7 @@
 
   /** Records that this process was paused and may have missed reports. */
   recordPause(pauseMs: number): void {
-    this.#missedReports.recordSilence(pauseMs, this.#options.nowMs());
+    this.#contacts.recordPause(pauseMs);
   }
 
   /** Creates the next report of this host. */
@@ -142,7 +133,7 @@
         state: state(),
         hasTargetPath: this.#options.hasTargetPath(),
         build,
-        hasMissedReports: this.#missedReports.isStatedAt(atMs),
+        hasMissedReports: this.#contacts.hasMissedReports,
       },
       positions: replica().changedPositions(),
       documentVersion: this.#options.documentVersion(),
@@ -207,11 +198,9 @@
     const { record, positions, documentVersion, store } = report;
     const { id, peerAddress, startedMs, availabilityZone } = record;
     const atMs = nowMs();
-    const silenceMs = this.#silenceMs(id, atMs);
-    if (!membership.recordReport(record, atMs)) return;
-    const isNewProcess = this.#recordProcess(record);
-    const isRepeated = this.#recordContact(record, silenceMs, atMs);
-    if (isNewProcess || isRepeated) this.#repeatReports({ isNewProcess });
+    const contact = this.#contacts.recordReport(record);
+    if (contact === undefined) return;
+    this.#informPeers(contact);
     this.#reports.set(id, report);
     this.#peerStatuses.set(id, {
       peerAddress,
@@ -240,13 +229,13 @@
     const { availabilityZone, authorId } = summary;
     const atMs = nowMs();
     let isNewProcess = false;
-    let isRepeated = false;
+    let hasMissedReports = false;
     for (const { record, store = NON_WATCHER_REPORT } of summary.hosts) {
       const { id, peerAddress } = record;
-      const silenceMs = this.#silenceMs(id, atMs);
-      if (!membership.recordReport(record, atMs)) continue;
-      if (this.#recordProcess(record)) isNewProcess = true;
-      if (this.#recordContact(record, silenceMs, atMs)) isRepeated = true;
+      const contact = this.#contacts.recordReport(record);
+      if (contact === undefined) continue;
+      isNewProcess ||= contact.isNewProcess;
+      hasMissedReports ||= contact.hasMissedReports;
       const isAuthor = id === authorId;
       const positions = isAuthor ? summary.positions : new Map();
       this.#peerStatuses.set(id, {
@@ -257,7 +246,7 @@
         receivedMs: atMs,
       });
     }
-    if (isNewProcess || isRepeated) this.#repeatReports({ isNewProcess });
+    this.#informPeers({ isNewProcess, hasMissedReports });
     const author = membership.get(authorId)?.record;
     if (author?.availabilityZone !== availabilityZone) return false;
     if (!membership.usesDelegates) return true;
@@ -308,48 +297,12 @@
     this.#crashMemory.record(fingerprint, { targetId, nowMs });
   }
 
-  /** Records the process of a host. Returns whether it is new to this host. */
-  #recordProcess(record: HostRecord): boolean {
-    const { log, quotas } = this.#options;
-    const { id, state, startedMs, build } = record;
-    const earlier = this.#peerProcesses.get(id);
-    if (earlier?.startedMs === startedMs) return false;
-    this.#peerProcesses.set(id, { startedMs, build });
-    if (earlier !== undefined && earlier.build !== build) {
-      log.event("host_build_changed", {
-        peer: id,
-        build,
-        previousBuild: earlier.build,
-      });
-    }
-    if (!this.#peerStatuses.has(id)) {
-      log.event("host_met", { peer: id, state, build });
-      quotas.addPeer(record);
-    }
-    return true;
-  }
-
-  /** Time since the last report of a host; 0 before the first one. */
-  #silenceMs(hostId: string, nowMs: number): number {
-    return nowMs -
-      (this.#options.membership.get(hostId)?.lastReportMs ?? nowMs);
-  }
-
-  /** Returns whether this host or the one that reports has missed reports. */
-  #recordContact(
-    { hasMissedReports }: HostRecord,
-    silenceMs: number,
-    nowMs: number,
-  ): boolean {
-    return this.#missedReports.recordSilence(silenceMs, nowMs) ||
-      hasMissedReports;
-  }
-
   /**
-   * Reports again what only hosts remember, at once to a process that has just
-   * started.
+   * Reports again what only hosts remember if another host may lack it, at once
+   * to a process that has just started.
    */
-  #repeatReports({ isNewProcess }: { isNewProcess: boolean }): void {
+  #informPeers({ isNewProcess, hasMissedReports }: PeerContact): void {
+    if (!isNewProcess && !hasMissedReports) return;
     const { targets, nowMs, requestReport } = this.#options;
     const atMs = nowMs();
     this.#repeatUntilMs = atMs + REPEAT_MS;
--- a/src/testing/growth.ts
+++ b/src/testing/growth.ts
@@ -1,10 +1,11 @@
 /**
- * Measures how the time of a computation grows with the size of its input.
+ * Measures how the processor time of a computation grows with the size of its
+ * input. The time of day would grow with the load of the machine, too.
  *
  * @module
  */
 
-/** Runs of which the fastest counts, as others may be interrupted. */
+/** Runs of which the fastest counts, as garbage is collected in others. */
 const RUNS = 5;
 /** Times below this are dominated by other costs. */
 const MIN_TIME_MS = 0.5;
@@ -24,9 +25,10 @@
     let fastestMs = Infinity;
     for (let run = 0; run < RUNS; run++) {
       const compute = prepare(inputSize);
-      const startMs = performance.now();
+      const start = process.cpuUsage();
       compute();
-      fastestMs = Math.min(fastestMs, performance.now() - startMs);
+      const { user, system } = process.cpuUsage(start);
+      fastestMs = Math.min(fastestMs, (user + system) / 1_000);
     }
     return Math.max(MIN_TIME_MS, fastestMs);
   };
