Close idle connections for lookups when new ones need their place

With the limit on the connections of a host's other servers, callers that keep connections for lookups would keep others from theirs for up to 5 s. Above three quarters of the limit, idle connections are closed. Without that, the new test of descriptor_limit_test fails.

--- a/src/node/entry/caller_connections.ts
+++ b/src/node/entry/caller_connections.ts
@@ -8,10 +8,16 @@
   type ConnectionDecision,
   ConnectionLimit,
 } from "../../core/limits/connection_limit.ts";
-import type { Server } from "node:net";
+import type { Server } from "node:http";
 import type { ConnectionPool } from "../target/connection_pool.ts";
 import type { Log } from "../telemetry/log.ts";
 
+/**
+ * Part of the connections that another server may have above which it closes
+ * idle ones.
+ */
+const MAX_USED_FRACTION = 0.75;
+
 /** Options of `createConnectionDecider`. */
 export interface ConnectionDeciderOptions {
   /** Descriptors that the host uses at most. */
@@ -34,11 +40,21 @@
 ): (callerConnections: number) => ConnectionDecision {
   const limit = new ConnectionLimit(maxDescriptors);
   let otherConnections = 0;
+  const { maxOtherServerConnections } = limit;
   for (const server of otherServers) {
-    server.maxConnections = limit.maxOtherServerConnections;
+    let connections = 0;
+    server.maxConnections = maxOtherServerConnections;
     server.on("connection", (socket) => {
+      connections += 1;
       otherConnections += 1;
-      socket.once("close", () => otherConnections -= 1);
+      socket.once("close", () => {
+        connections -= 1;
+        otherConnections -= 1;
+      });
+      // Those that are kept for later requests make room for new ones.
+      if (connections > MAX_USED_FRACTION * maxOtherServerConnections) {
+        server.closeIdleConnections();
+      }
     });
   }
   return (callerConnections) => {
