--- a/review/harness_3.ts
+++ b/review/harness_3.ts
@@ -522,11 +522,19 @@
 
 /** The parts of a configuration that the cases don't change. */
 export function createConfig(
-  { version, routes, services, key }: {
+  {
+    version,
+    routes,
+    services,
+    key,
+    tenants = [["drivers", [key], 1, 0, 0, []]],
+  }: {
     version: number;
     routes: readonly (readonly unknown[])[];
     services: readonly string[];
-    key: string;
+    /** Key of the only tenant, which has no quota. */
+    key?: string;
+    tenants?: readonly (readonly unknown[])[];
   },
 ): unknown {
   return {
@@ -544,7 +552,7 @@
     },
     tenants: table(
       ["name", "apiKeys", "priority", "ratePerS", "burst", "homeRegions"],
-      [["drivers", [key], 1, 0, 0, []]],
+      tenants,
     ),
   };
 }
