--- a/review/14/case.ts
+++ b/review/14/case.ts
@@ -116,6 +116,8 @@
 /** Acknowledged notices by server. */
 const noticedMs = new Map<string, number>();
 const cutIds = new Set<string>();
+/** Last arrival at a server by order. */
+const arrivedMs = new Map<string, number>();
 let isOver = false;
 let orderCount = 0;
 
@@ -170,6 +172,7 @@
         workMs: WORK_MS,
         slots: 32,
       });
+      backEnd.onArrival = (id) => arrivedMs.set(id, performance.now());
       await backEnd.start();
       backEnds.push(backEnd);
       store.write("servers", backEnd.id, backEnd.entry("ready"));
@@ -282,7 +285,7 @@
   if (noticed === undefined) continue;
   for (const { id, atMs, isCut } of backEnd.runs) {
     const order = orderById.get(id);
-    const lateMs = Math.round(atMs - noticed);
+    const lateMs = Math.round((arrivedMs.get(id) ?? atMs) - noticed);
     if (order === undefined || lateMs <= DRAIN_MS || !order.isInTouch) continue;
     lateCount += 1;
     if (isCut && order.end !== "200") lostCount += 1;
