Ignore answers of the store that are older than the view

Callers could lose a target: a watch that had begun earlier and was answered late removed a target that had been registered again meanwhile, as changes that peers had forwarded had already moved the view on. The target stayed away until its next change.

Cause: a view applied each change of an answer, also where the answer's position was before its own. A put is compared with the object's revision; a removal is not, as the store states the revision before it.

--- a/src/core/store/kind_view.ts
+++ b/src/core/store/kind_view.ts
@@ -114,6 +114,8 @@
     position: StorePosition,
   ): ViewChanges {
     if (position.epoch !== this.#position.epoch) return NO_CHANGES;
+    // All of these changes are known, and later ones of the same objects too.
+    if (isLater(this.#position, position)) return NO_CHANGES;
     const changed = new Map<string, StoredObject>();
     const removed = new Set<string>();
     const { revision: previousRevision } = this.#position;
@@ -138,6 +140,17 @@
     return { changed: changedObjects, removed: [...removed] };
   }
 
+  /**
+   * Records that there are no changes between the view's position and a later
+   * one. The history of the store may be lost before the next change.
+   */
+  advanceTo(position: StorePosition): void {
+    const { epoch } = this.#position;
+    if (position.epoch === epoch && isLater(position, this.#position)) {
+      this.#position = position;
+    }
+  }
+
   /** Applies changes that a peer holds beyond this view. */
   applyDelta(delta: KindDelta, nowMs: number): ViewChanges {
     const { position, objects, isSnapshot } = delta;
--- a/src/core/store/kind_view_test.ts
+++ b/src/core/store/kind_view_test.ts
@@ -218,3 +218,25 @@
   view.applyChanges([change], position);
   assert.deepEqual(view.changedPosition, position);
 });
+
+// Guards against a target that was removed and registered again, and that is
+// removed by the late answer of a watch which began before both.
+test("changes from before the view's position do not undo later ones", () => {
+  const view = new KindView();
+  view.applyList([object("desk", 53)], at(60), 0);
+  const registeredAgain = { object: object("desk", 64), removed: false };
+  view.applyChanges([registeredAgain], at(65));
+  const removed = { object: object("desk", 62), removed: true };
+  assert.deepEqual(view.applyChanges([removed], at(63)).removed, []);
+  assert.equal(view.get("desk")?.revision, 64);
+});
+
+// Guards against a host that has to list all objects again, as the history after
+// its last change is lost, though it holds all changes.
+test("a view advances over revisions without changes", () => {
+  const view = new KindView();
+  view.applyList([object("desk", 53)], at(60), 0);
+  for (const position of [at(70), at(65), at(90, 2)]) view.advanceTo(position);
+  assert.deepEqual(view.position, at(70));
+  assert.deepEqual(view.changedPosition, at(53));
+});
