Bound the age of a host's view by what the host itself knows

Cause: a host took "a watcher works" for "my view is complete". It counted a watcher as working until the store's last answer to it was 2.5 s old or its probe had failed (1 s and 1.2 s), and waited another 0.25 s.

Change: each host tracks the time as of which its views of targets, releases and evacuations hold all changes (core/store/view_freshness.ts). An answered call proves it as of its start; watchers make one for targets each quarter of the bound and report its age. The bounds come from the settings (drain, evacuate). Zone summaries add the time that a report has waited, and after a pause of process or machine nothing counts that was known before.

--- a/src/core/membership/zone_summary.ts
+++ b/src/core/membership/zone_summary.ts
@@ -25,7 +25,10 @@
 /** A live host in the summary of its zone. */
 export interface ZoneHost {
   readonly record: HostRecord;
-  /** Absent for hosts that do not watch the store. */
+  /**
+   * Absent for hosts that neither watch the store nor have confirmed a view by
+   * calls of their own.
+   */
   readonly store: StoreReport | undefined;
 }
 
@@ -88,7 +91,9 @@
     authorId: ownReport.record.id,
     hosts: reports.map(({ record, store }) => ({
       record,
-      store: store.watches ? store : undefined,
+      store: store.watches || store.confirmations.length > 0
+        ? store
+        : undefined,
     })),
     positions: ownReport.positions,
     documentVersion: ownReport.documentVersion,
--- a/src/core/settings/entry_settings.ts
+++ b/src/core/settings/entry_settings.ts
@@ -50,6 +50,12 @@
   quotaSlack: z.number().nonnegative().default(0).describe(
     "Requests allowed in a window in addition to that fraction",
   ),
+  targetDrainMs: durationMs.default(2_000).describe(
+    "Time in which a target that drains or is gone gets no more requests",
+  ),
+  evacuationMs: durationMs.default(5_000).describe(
+    "Time in which the targets of an evacuated zone get no more requests",
+  ),
   exposureShare: fraction.default(0.1).describe(
     "Largest share of a service's requests for a version that turns out bad",
   ),
--- a/src/core/store/store_availability.ts
+++ b/src/core/store/store_availability.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { StoreHealth } from "./store_health.ts";
+import type { ViewConfirmation } from "./view_freshness.ts";
 
 /** Availability of the store as one host observes it. */
 export interface StoreReport {
@@ -16,6 +17,8 @@
   readonly ageMs: number;
   /** Time since the store last recovered from failures; Infinity if never. */
   readonly sinceReturnMs: number;
+  /** Views that the host's own calls have shown to be complete. */
+  readonly confirmations: readonly ViewConfirmation[];
 }
 
 /** Availability of the store as the watching hosts observe it together. */
@@ -30,17 +33,37 @@
 /** Creates the report of this host. */
 export function createStoreReport(
   health: StoreHealth,
-  watches: boolean,
+  { watches, confirmations }: Pick<StoreReport, "watches" | "confirmations">,
   nowMs: number,
 ): StoreReport {
   return {
     watches,
+    confirmations,
     isFailing: health.isFailing,
     ageMs: health.ageMs(nowMs),
     sinceReturnMs: nowMs - health.recoveredMs,
   };
 }
 
+/**
+ * Returns a report as it holds some time later without news from its host, so
+ * that a host which passes it on does not make it look recent.
+ */
+export function ageStoreReport(
+  report: StoreReport,
+  elapsedMs: number,
+): StoreReport {
+  return {
+    ...report,
+    ageMs: report.ageMs + elapsedMs,
+    sinceReturnMs: report.sinceReturnMs + elapsedMs,
+    confirmations: report.confirmations.map((confirmation) => ({
+      ...confirmation,
+      ageMs: confirmation.ageMs + elapsedMs,
+    })),
+  };
+}
+
 /**
  * Combines the reports of the hosts that watch. The store is failing when it
  * fails for all of them, and it has recovered when it answers the first of them
--- a/src/core/store/store_availability_test.ts
+++ b/src/core/store/store_availability_test.ts
@@ -11,6 +11,7 @@
   isFailing: false,
   ageMs: 300,
   sinceReturnMs: Infinity,
+  confirmations: [],
 };
 const FAILING = { ...WORKING, isFailing: true, ageMs: 4_000 };
 const NOT_WATCHING = { ...WORKING, watches: false };
--- a/src/node/entry/entry_host.ts
+++ b/src/node/entry/entry_host.ts
@@ -205,6 +205,7 @@
     log,
     contentVersion: (kind, object) => codec.contentVersion(kind, object),
     documentVersion: () => applier.document?.version ?? 0,
+    bounds: () => options.settings.current.bounds,
     onChanges(kind, changes) {
       guard(`changes of ${kind}`, () => applier.apply(kind, changes));
       if (kind !== "targets") return;
@@ -456,11 +457,17 @@
   const stopPeriodicWork = startPeriodicWork({
     guard,
     nowMs,
+    clockMs: Date.now,
     onPause(gapMs) {
       log.warn("process_paused", { gapMs: Math.round(gapMs) });
       membership.recordPause(gapMs);
       fleetReports.recordPause(gapMs);
       usage?.recordPause(gapMs);
+      replica.recordPause();
+    },
+    onSuspension(gapMs) {
+      log.warn("machine_suspended", { gapMs: Math.round(gapMs) });
+      replica.recordPause();
     },
     tasks: {
       quotas: (atMs) => quotas.update(atMs),
--- a/src/node/entry/fleet_reports.ts
+++ b/src/node/entry/fleet_reports.ts
@@ -20,7 +20,10 @@
 import type { Releases } from "../../core/release/releases.ts";
 import type { StoppedVersion } from "../../core/release/types.ts";
 import type { VersionCounts } from "../../core/release/version_counts.ts";
-import type { StoreReport } from "../../core/store/store_availability.ts";
+import {
+  ageStoreReport,
+  type StoreReport,
+} from "../../core/store/store_availability.ts";
 import type { TargetInstance } from "../../core/targets/leaving_targets.ts";
 import {
   createLimitReport,
@@ -50,6 +53,7 @@
   isFailing: false,
   ageMs: Infinity,
   sinceReturnMs: Infinity,
+  confirmations: [],
 };
 
 /** Options of `FleetReports`. */
@@ -190,6 +194,7 @@
         const receivedMs = this.#peerStatuses.get(id)?.receivedMs ?? atMs;
         return report === undefined ? [] : [{
           ...report,
+          store: ageStoreReport(report.store, atMs - receivedMs),
           limits: report.limits.map((limit) => ({
             ...limit,
             ageMs: limit.ageMs + atMs - receivedMs,
--- a/src/node/entry/host_endpoints.ts
+++ b/src/node/entry/host_endpoints.ts
@@ -14,6 +14,7 @@
 import type { Locality } from "../../core/types.ts";
 import type { Metrics } from "../telemetry/metrics.ts";
 import type { ObjectApplier } from "./object_applier.ts";
+import { CONFIRMED_KINDS } from "./replica_policies.ts";
 import type { StoreReplica } from "./store_replica.ts";
 
 /** Time for which a lookup may be cached, unless the settings allow less. */
@@ -112,6 +113,10 @@
       metrics.queuedRequests.set({ service }, length);
     }
     metrics.storeAgeSeconds.set(replica.availability.ageMs / 1_000);
+    for (const kind of CONFIRMED_KINDS) {
+      const ageS = replica.confirmedAgeMs(kind) / 1_000;
+      metrics.viewAgeSeconds.set({ kind }, ageS);
+    }
     metrics.targets.reset();
     metrics.limitedTargets.reset();
     for (const { target: { service }, statedLimit } of targets.all()) {
@@ -136,6 +141,12 @@
       hasTargetPath: this.#options.hasTargetPath(),
       documentVersion: applier.document?.version,
       storeAgeMs: Math.round(replica.availability.ageMs),
+      viewAgesMs: Object.fromEntries(
+        CONFIRMED_KINDS.map((kind) => [
+          kind,
+          Math.round(replica.confirmedAgeMs(kind)),
+        ]),
+      ),
       liveHosts: membership.livePeers(nowMs())
         .map(({ id, state, build }) => ({ id, state, build })),
       evacuatedZones: [...applier.evacuatedZones],
--- a/src/node/entry/store_replica.ts
+++ b/src/node/entry/store_replica.ts
@@ -28,24 +28,34 @@
   type ObjectKind,
   type StoredObject,
 } from "../../core/store/types.ts";
+import {
+  type ViewConfirmation,
+  ViewFreshness,
+} from "../../core/store/view_freshness.ts";
 import { WatcherElection } from "../../core/store/watcher_election.ts";
 import type { Random } from "../../core/types.ts";
 import { fetchFromPeer } from "../peer/peer_service.ts";
 import type { PushedDelta } from "../peer/report_codec.ts";
 import { type FollowMode, KindFollower } from "../store/kind_follower.ts";
-import { type ObjectStore, StoreError } from "../store/object_store.ts";
+import type { ObjectStore } from "../store/object_store.ts";
 import { logUnexpectedError } from "../telemetry/guard.ts";
 import type { Log } from "../telemetry/log.ts";
 import {
+  CONFIRMED_KINDS,
+  findFreshnessLimits,
   findWatchWaitMs,
   KEEP_MISSING_MS,
   NON_WATCHER_MODES,
+  type PropagationBounds,
 } from "./replica_policies.ts";
 
 /** Time limit for the response of a peer. */
 const FETCH_TIMEOUT_MS = 800;
-/** Time between two probes of the store by a host that watches it. */
-const PROBE_INTERVAL_MS = 1_000;
+/**
+ * Age above which a confirmation is not reported: other hosts confirm their
+ * views by themselves before.
+ */
+const MAX_REPORTED_AGE_MS = 10_000;
 
 /** State of another host's replica and its connection to the store. */
 export interface PeerStatus {
@@ -72,6 +82,8 @@
   ) => ContentVersion | undefined;
   /** Version of the document that this host applies; 0 before the first one. */
   readonly documentVersion: () => number;
+  /** Times in which changes have to be applied. */
+  readonly bounds: () => PropagationBounds;
   /** Called after objects of a kind have changed. */
   readonly onChanges: (kind: ObjectKind, changes: ViewChanges) => void;
   /** Forwards changes to the other hosts. */
@@ -87,9 +99,11 @@
   readonly #documentLag: DocumentLag;
   readonly #health = new StoreHealth();
   readonly #election: WatcherElection;
+  readonly #freshness = new ViewFreshness();
+  /** Kinds whose changes are not known to be complete in time. */
+  readonly #unconfirmed = new Set<ObjectKind>();
   #availability: StoreAvailability;
   #isFetching = false;
-  #lastProbeMs = -Infinity;
   /** Newest epoch of the store that this host knows. */
   #epoch = NO_POSITION.epoch;
   /** Time at which this host learned of it, if it is not the first one. */
@@ -100,11 +114,6 @@
     const { store, random, nowMs, log } = options;
     this.#election = new WatcherElection(nowMs());
     this.#documentLag = new DocumentLag(nowMs());
-    this.#availability = combineStoreReports(
-      this.createStoreReport(),
-      [],
-      nowMs(),
-    );
     for (const kind of OBJECT_KINDS) {
       const view = new KindView({
         contentVersion: (object) => options.contentVersion(kind, object),
@@ -120,7 +129,11 @@
           store,
           random,
           nowMs,
-          watchWaitMs: () => findWatchWaitMs(kind, this.#election.isWatcher),
+          watchWaitMs: () =>
+            findWatchWaitMs(kind, {
+              isWatcher: this.#election.isWatcher,
+              ...options.bounds(),
+            }),
           onChanges: (changes, previous) =>
             this.#handleChanges(kind, changes, previous),
           onOutdated: (position) =>
@@ -132,12 +145,19 @@
           onHistoryLost: () =>
             log.event("history_lost", { kind, held: view.position }),
           onResponse: () => this.recordResponse(),
+          onConfirmed: (completeMs) =>
+            this.#freshness.recordOwn(kind, completeMs),
           onFailure: (error) => this.recordFailure(error.message),
           onUnexpectedError: (error) =>
             logUnexpectedError(log, `updates of ${kind}`, error),
         }),
       );
     }
+    this.#availability = combineStoreReports(
+      this.createStoreReport(),
+      [],
+      nowMs(),
+    );
   }
 
   /**
@@ -173,8 +193,30 @@
 
   /** Reports the store's availability as this host observes it. */
   createStoreReport(): StoreReport {
-    const { nowMs } = this.#options;
-    return createStoreReport(this.#health, this.#election.isWatcher, nowMs());
+    const atMs = this.#options.nowMs();
+    const confirmations = CONFIRMED_KINDS
+      .map((kind): ViewConfirmation => ({
+        kind,
+        changedPosition: this.view(kind).changedPosition,
+        position: this.view(kind).position,
+        ageMs: this.#freshness.ownAgeMs(kind, atMs),
+      }))
+      .filter(({ ageMs }) => ageMs < MAX_REPORTED_AGE_MS);
+    const watches = this.#election.isWatcher;
+    return createStoreReport(this.#health, { watches, confirmations }, atMs);
+  }
+
+  /**
+   * Age of the knowledge that the view of a kind is complete, in milliseconds;
+   * Infinity without any.
+   */
+  confirmedAgeMs(kind: ObjectKind): number {
+    return this.#freshness.ageMs(kind, this.#options.nowMs());
+  }
+
+  /** Records that this process was paused, with its clock or without. */
+  recordPause(): void {
+    this.#freshness.recordPause(this.#options.nowMs());
   }
 
   /** Returns the position of the newest change by kind. */
@@ -222,11 +264,12 @@
     for (const kind of OBJECT_KINDS) {
       this.#handleChanges(kind, this.view(kind).dropMissing(atMs));
     }
-    if (
-      this.#election.isWatcher && atMs - this.#lastProbeMs >= PROBE_INTERVAL_MS
-    ) {
-      this.#probe();
+    for (const { store, receivedMs } of peers) {
+      for (const confirmation of store.confirmations) {
+        this.#recordConfirmation(confirmation, receivedMs);
+      }
     }
+    for (const kind of CONFIRMED_KINDS) this.#confirmIfDue(kind);
   }
 
   /**
@@ -350,19 +393,36 @@
     this.fetchFrom(documentPeer, { wholeDocument: true });
   }
 
-  async #probe(): Promise<void> {
-    const { store, nowMs } = this.#options;
-    // No other probe starts before this one has ended.
-    this.#lastProbeMs = Infinity;
-    try {
-      await store.probe();
-      this.recordResponse();
-    } catch (error) {
-      if (!(error instanceof StoreError)) throw error;
-      this.recordFailure(error.message);
-    } finally {
-      this.#lastProbeMs = nowMs();
+  #recordConfirmation(
+    confirmation: ViewConfirmation,
+    receivedMs: number,
+  ): void {
+    const view = this.view(confirmation.kind);
+    if (
+      this.#freshness.recordPeer(confirmation, view.position, receivedMs)
+    ) view.advanceTo(confirmation.position);
+  }
+
+  /** Asks the store when a view might lack changes for too long otherwise. */
+  #confirmIfDue(kind: ObjectKind): void {
+    const { nowMs, bounds, log } = this.#options;
+    const { isWatcher } = this.#election;
+    const atMs = nowMs();
+    const limits = findFreshnessLimits(kind, bounds());
+    if (!this.#freshness.isDue(kind, limits, { isWatcher, nowMs: atMs })) {
+      this.#unconfirmed.delete(kind);
+      return;
+    }
+    if (!isWatcher && !this.#unconfirmed.has(kind)) {
+      this.#unconfirmed.add(kind);
+      const ageMs = this.#freshness.ageMs(kind, atMs);
+      log.event("view_unconfirmed", {
+        kind,
+        ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+        held: this.view(kind).position,
+      });
     }
+    this.#followers.get(kind)?.confirm();
   }
 
   #updateModes(): void {
--- a/src/node/peer/report_codec.ts
+++ b/src/node/peer/report_codec.ts
@@ -12,6 +12,7 @@
 import type { StorePosition } from "../../core/store/position.ts";
 import type { StoreReport } from "../../core/store/store_availability.ts";
 import type { KindDelta, ObjectKind } from "../../core/store/types.ts";
+import type { ViewConfirmation } from "../../core/store/view_freshness.ts";
 import type { TargetLimit } from "../../core/targets/limit_reports.ts";
 import type { TargetObservation } from "../../core/targets/target_observation.ts";
 import {
@@ -22,6 +23,7 @@
   type StoreReport as StoreReportMessage,
   type TargetLimit as TargetLimitMessage,
   type TargetObservations,
+  type ViewConfirmation as ViewConfirmationMessage,
   type ZoneSummary as ZoneSummaryMessage,
   ZoneSummarySchema,
 } from "../../gen/cranberryhoist/v1/peer_pb.ts";
@@ -323,6 +325,15 @@
     isFailing: store.isFailing,
     ageMs: finiteOrDefault(NO_VALUE, store.ageMs),
     sinceReturnMs: finiteOrDefault(NO_VALUE, store.sinceReturnMs),
+    confirmations: store.confirmations.map(
+      ({ kind, changedPosition, position, ageMs }) => ({
+        kind,
+        changedRevision: changedPosition.revision,
+        revision: position.revision,
+        epoch: position.epoch,
+        ageMs,
+      }),
+    ),
   };
 }
 
@@ -356,9 +367,24 @@
     isFailing: message?.isFailing ?? false,
     ageMs: durationFromMessage(message?.ageMs),
     sinceReturnMs: durationFromMessage(message?.sinceReturnMs),
+    confirmations: message?.confirmations.flatMap(confirmationFromMessage) ??
+      [],
   };
 }
 
+/** Returns nothing for a kind that this build does not know. */
+function confirmationFromMessage(
+  { kind, changedRevision, revision, epoch, ageMs }: ViewConfirmationMessage,
+): ViewConfirmation[] {
+  if (!isObjectKind(kind)) return [];
+  return [{
+    kind,
+    changedPosition: { epoch, revision: changedRevision },
+    position: { epoch, revision },
+    ageMs,
+  }];
+}
+
 function parseHostState(name: string): HostState {
   return HOST_STATES.find((state) => state === name) ?? "starting";
 }
--- a/src/node/peer/report_codec_test.ts
+++ b/src/node/peer/report_codec_test.ts
@@ -39,7 +39,20 @@
       },
     ],
     leavingTargets: [{ targetId: "t2", startedMs: 8 }],
-    store: { watches, isFailing: false, ageMs: 20, sinceReturnMs: Infinity },
+    store: {
+      watches,
+      isFailing: false,
+      ageMs: 20,
+      sinceReturnMs: Infinity,
+      confirmations: watches
+        ? [{
+          kind: "targets",
+          changedPosition: { epoch: 3, revision: 40 + n },
+          position: { epoch: 3, revision: 50 },
+          ageMs: 30,
+        }]
+        : [],
+    },
     crashReports: [{ fingerprint: "f", targetId: "t", ageMs: 5 }],
     rememberedCrashes: [{ fingerprint: "g", targetId: "", ageMs: 60_000 }],
   };
--- a/src/node/peer/report_exchange_test.ts
+++ b/src/node/peer/report_exchange_test.ts
@@ -46,6 +46,7 @@
       isFailing: false,
       ageMs: 0,
       sinceReturnMs: Infinity,
+      confirmations: [],
     },
     crashReports: [],
     rememberedCrashes: [],
--- a/src/node/store/kind_follower.ts
+++ b/src/node/store/kind_follower.ts
@@ -30,6 +30,8 @@
 /** Bounds of the exponential back-off after a failed call. */
 const MIN_BACK_OFF_MS = 150;
 const MAX_BACK_OFF_MS = 1_000;
+/** Failures in a row as which one failed call to confirm a view counts. */
+const CONFIRM_FAILURES = 4;
 
 /** Source of the updates after the first list. */
 export type FollowMode =
@@ -61,6 +63,8 @@
   readonly onHistoryLost: () => void;
   /** Called with each response of the store. */
   readonly onResponse: () => void;
+  /** Called with a time as of which the view holds all changes. */
+  readonly onConfirmed: (completeMs: number) => void;
   /** Called when a call had no usable response. */
   readonly onFailure: (error: StoreError) => void;
   /** Called with an error that is no failure of a call. */
@@ -78,6 +82,9 @@
   #lostHistoryCount = 0;
   #mustList = true;
   #mustCatchUp = false;
+  #isConfirming = false;
+  /** Time before which no call is made to confirm the view. */
+  #confirmNotBeforeMs = -Infinity;
   /** Start of the watch that waits for changes; `undefined` without one. */
   #waitingSinceMs: number | undefined;
   /** Whether the store was restored since the last list. */
@@ -119,6 +126,56 @@
     if (this.#failureCount === 0) this.#wakeController.abort();
   }
 
+  /**
+   * Asks the store at once whether the view holds all changes, beside a watch
+   * that waits, and applies those that it lacks. Does nothing while such a call
+   * is in progress and for a time after one has failed.
+   */
+  async confirm(): Promise<void> {
+    const { view, nowMs, onResponse, onFailure } = this.#options;
+    const startMs = nowMs();
+    const mayCall = !this.#isConfirming && !view.isEmpty && !this.#mustList &&
+      startMs >= this.#confirmNotBeforeMs;
+    if (!mayCall) return;
+    this.#isConfirming = true;
+    try {
+      await this.#callToConfirm(startMs);
+    } catch (error) {
+      if (this.#stopController.signal.aborted) return;
+      this.#confirmNotBeforeMs = nowMs() + this.#backOffMs(CONFIRM_FAILURES);
+      if (!(error instanceof StoreError)) {
+        return this.#options.onUnexpectedError(error);
+      }
+      if (error.kind !== "compacted") return onFailure(error);
+      onResponse();
+      this.#options.onHistoryLost();
+      this.#mustList = true;
+      this.#wakeController.abort();
+    } finally {
+      this.#isConfirming = false;
+    }
+  }
+
+  async #callToConfirm(startMs: number): Promise<void> {
+    const { kind, store, view, onResponse, onConfirmed, onChanges } =
+      this.#options;
+    const since = view.position;
+    const { changes, position } = await store.watch(kind, since.revision, {
+      waitMs: 0,
+      signal: this.#stopController.signal,
+      isUrgent: true,
+    });
+    onResponse();
+    // A list, which the new epoch asks for, tells what the view lacks.
+    if (position.epoch !== view.position.epoch || isLater(since, position)) {
+      return;
+    }
+    const previous = view.changedPosition;
+    const viewChanges = view.applyChanges(changes, position);
+    onConfirmed(startMs);
+    onChanges(viewChanges, previous);
+  }
+
   /** Lists the objects at once, as the store was restored from a copy. */
   relist(): void {
     this.#mustList = true;
@@ -192,12 +249,13 @@
   async #call(signal: AbortSignal): Promise<ViewChanges> {
     const { view } = this.#options;
     if (this.#mustList || this.#mode === "list") return await this.#list();
-    const { kind, store, onOutdated } = this.#options;
+    const { kind, store, onOutdated, onConfirmed, nowMs } = this.#options;
     const waitMs = this.#mustCatchUp
       ? CATCH_UP_WAIT_MS
       : this.#options.watchWaitMs();
     const since = view.position;
-    if (waitMs > 0) this.#waitingSinceMs = this.#options.nowMs();
+    const startMs = nowMs();
+    if (waitMs > 0) this.#waitingSinceMs = startMs;
     const { changes, position } = await store.watch(kind, since.revision, {
       waitMs,
       signal,
@@ -207,23 +265,31 @@
     if (isLater(since, position)) onOutdated(position);
     // Changes since a revision of another epoch may be incomplete.
     if (position.epoch > view.position.epoch) this.#mustList = true;
-    return view.applyChanges(changes, position);
+    const viewChanges = view.applyChanges(changes, position);
+    if (position.epoch === view.position.epoch && !isLater(since, position)) {
+      // The store answers a watch without changes at the end of its wait.
+      const hasWaited = changes.length === 0 && nowMs() - startMs >= waitMs;
+      onConfirmed(hasWaited ? startMs + waitMs : startMs);
+    }
+    return viewChanges;
   }
 
   async #list(): Promise<ViewChanges> {
-    const { kind, view, store, onOutdated, nowMs } = this.#options;
+    const { kind, view, store, onOutdated, onConfirmed, nowMs } = this.#options;
     // Only hosts are listed periodically, and a new host reports itself soon,
     // so the list may be stale.
     const acceptStale = this.#mode === "list" && !this.#isRestored;
     const wasRestored = this.#isRestored;
     this.#mustList = false;
     this.#isRestored = false;
+    const startMs = nowMs();
     try {
       const { objects, position } = await store.list(kind, { acceptStale });
-      if (!acceptStale && isLater(view.position, position)) {
-        onOutdated(position);
-      }
-      return view.applyList(objects, position, nowMs());
+      const isOutdated = isLater(view.position, position);
+      if (!acceptStale && isOutdated) onOutdated(position);
+      const viewChanges = view.applyList(objects, position, nowMs());
+      if (!acceptStale && !isOutdated) onConfirmed(startMs);
+      return viewChanges;
     } catch (error) {
       this.#mustList = true;
       this.#isRestored ||= wasRestored;
--- a/src/node/store/kind_follower_test.ts
+++ b/src/node/store/kind_follower_test.ts
@@ -19,13 +19,15 @@
 
 /** Follows a store with the given behaviour and returns the calls to it. */
 async function follow(
-  { position, watch, durationMs, catchUpIntervalMs }: {
+  { position, watch, durationMs, catchUpIntervalMs, confirmIntervalMs }: {
     /** Position of each list. */
     position: () => StorePosition;
     watch: ObjectStore["watch"];
     durationMs: number;
     /** Time between two requests to catch up; none if absent. */
     catchUpIntervalMs?: number;
+    /** Time between two requests to confirm the view; none if absent. */
+    confirmIntervalMs?: number;
   },
 ) {
   const view = new KindView();
@@ -33,6 +35,7 @@
   let watchCount = 0;
   let failureCount = 0;
   let unexpectedCount = 0;
+  const confirmedMs: number[] = [];
   const rejectCall = () => Promise.reject(new Error("unexpected call"));
   const store: ObjectStore = {
     async list() {
@@ -50,7 +53,6 @@
     read: rejectCall,
     replace: rejectCall,
     remove: rejectCall,
-    probe: rejectCall,
     close() {},
   };
   const follower = new KindFollower({
@@ -65,6 +67,7 @@
     onOutdated() {},
     onHistoryLost() {},
     onResponse() {},
+    onConfirmed: (completeMs) => confirmedMs.push(completeMs),
     onFailure: () => failureCount += 1,
     onUnexpectedError: () => unexpectedCount += 1,
   });
@@ -72,10 +75,21 @@
   const timer = catchUpIntervalMs === undefined
     ? undefined
     : setInterval(() => follower.catchUp(), catchUpIntervalMs);
+  const confirmTimer = confirmIntervalMs === undefined
+    ? undefined
+    : setInterval(() => follower.confirm(), confirmIntervalMs);
   await sleep(durationMs);
   clearInterval(timer);
+  clearInterval(confirmTimer);
   stop();
-  return { view, listCount, watchCount, failureCount, unexpectedCount };
+  return {
+    view,
+    listCount,
+    watchCount,
+    failureCount,
+    unexpectedCount,
+    confirmedMs,
+  };
 }
 
 /** Waits until the call is aborted, as a watch without changes does. */
@@ -191,3 +205,42 @@
   assert.ok(watchCount <= 5, `${watchCount} watches`);
   assert.ok(unexpectedCount >= 2, `${unexpectedCount} errors`);
 });
+
+// Guards against a change that a silent connection hides until the watch on it is
+// given up, and against a view that is taken to be older than it is.
+test("a view is confirmed beside a watch that stays silent", async () => {
+  const changed = { ...OBJECT, revision: 8 };
+  const { view, confirmedMs, watchCount } = await follow({
+    position: () => ({ epoch: 1, revision: 5 }),
+    watch: (kind, revision, options) =>
+      options.waitMs > 0 ? waitForAbort(kind, revision, options) : Promise
+        .resolve({
+          changes: [{ object: changed, removed: false }],
+          position: { epoch: 1, revision: 9 },
+        }),
+    durationMs: 500,
+    confirmIntervalMs: 100,
+  });
+  assert.equal(view.get(OBJECT.name)?.revision, 8);
+  assert.deepEqual(view.position, { epoch: 1, revision: 9 });
+  const endMs = performance.now();
+  assert.ok(endMs - confirmedMs[confirmedMs.length - 1] < 250);
+  assert.ok(watchCount >= 4 && watchCount <= 6, `${watchCount} watches`);
+});
+
+// Guards against a host that floods a store which refuses its calls, and against
+// a refusal that counts as a confirmation.
+test("calls that confirm a view back off after a failure", async () => {
+  const { watchCount, confirmedMs, failureCount } = await follow({
+    position: () => ({ epoch: 1, revision: 5 }),
+    watch: (kind, revision, options) =>
+      options.waitMs > 0
+        ? waitForAbort(kind, revision, options)
+        : Promise.reject(new StoreError("refused", "status 429")),
+    durationMs: 1_000,
+    confirmIntervalMs: 50,
+  });
+  assert.ok(watchCount <= 3, `${watchCount} watches`);
+  assert.ok(failureCount > 0);
+  assert.equal(confirmedMs.length, 1, "only the list has confirmed the view");
+});
--- a/src/node/store/object_store.ts
+++ b/src/node/store/object_store.ts
@@ -71,12 +71,13 @@
    * tells whether the store was restored since.
    *
    * @param options `waitMs` limits the wait; without changes in this time, the
-   * result is empty. `signal` aborts the call.
+   * result is empty. `signal` aborts the call. `isUrgent` shortens the timeouts
+   * of a call that does not wait. Default: false.
    */
   watch(
     kind: ObjectKind,
     revision: number,
-    options: { waitMs: number; signal: AbortSignal },
+    options: { waitMs: number; signal: AbortSignal; isUrgent?: boolean },
   ): Promise<StoreChanges>;
   /** Creates an object or replaces its specification. */
   put(kind: ObjectKind, name: string, specification: unknown): Promise<void>;
@@ -109,8 +110,6 @@
   ): Promise<number>;
   /** Removes an object; does nothing if it does not exist. */
   remove(kind: ObjectKind, name: string): Promise<void>;
-  /** Checks whether the store responds, with a call that costs little. */
-  probe(): Promise<void>;
   /** Closes the connections to the store. */
   close(): void;
 }
--- a/src/node/telemetry/metrics.ts
+++ b/src/node/telemetry/metrics.ts
@@ -167,6 +167,11 @@
       "store_age_seconds",
       "Time since the store last responded to a watching host",
     ),
+    viewAgeSeconds: gauge(
+      "view_age_seconds",
+      "Age of the knowledge that the view of a kind holds all changes",
+      ["kind"],
+    ),
     unansweredCloses: counter(
       "unanswered_closes_total",
       "Requests whose connection was closed before the response was complete",
