Divide the window of a rate by what hosts have admitted

In the simulation, 470 requests ran in a window that allows 416 while three of nine hosts heard the others without being heard.

Cause: a host's limit over the window was its present share of the whole limit. Shares move with the demand and with silent hosts, and what others had admitted with an earlier share did not count.

Change: hosts that have admitted more than their present share keep it, and the others divide the rest. A silent host counts with its reserved share.

Evidence: "no window exceeds the limit when requests move to other hosts" failed before with 470 of 416 and passes.

--- a/src/core/limits/demand_shares.ts
+++ b/src/core/limits/demand_shares.ts
@@ -31,6 +31,8 @@
    * that report, of what is not reserved for silent ones.
    */
   readonly ownFraction: number;
+  /** The same of the hosts that each report covers, in order of the reports. */
+  readonly reportFractions: readonly number[];
   /** Requests per second at the other hosts. */
   readonly othersRequestsPerS: number;
 }
@@ -45,6 +47,7 @@
   let sumRequestsPerS = ownRequestsPerS;
   let othersRequestsPerS = 0;
   let reserved = 0;
+  const reportFractions: number[] = [];
   for (const { demands, hostCount, totalsRequestsPerS } of reports) {
     const statedRequestsPerS = demands.get(organisationId)?.requestsPerS ?? 0;
     othersRequestsPerS += statedRequestsPerS;
@@ -52,12 +55,18 @@
     const totalRequestsPerS = totalsRequestsPerS?.get(organisationId);
     if (totalRequestsPerS === undefined) sumRequestsPerS += requestsPerS;
     else reserved += requestsPerS / totalRequestsPerS;
+    reportFractions.push(requestsPerS / (totalRequestsPerS ?? 1));
   }
   const unreserved = Math.max(0, 1 - reserved);
   // The total at which the hosts that report would get the same shares.
-  if (unreserved > 0) totals.record(sumRequestsPerS / unreserved, nowMs);
-  const ownFraction = unreserved * ownRequestsPerS / sumRequestsPerS;
-  return { ownFraction, othersRequestsPerS };
+  const totalRequestsPerS = sumRequestsPerS / unreserved;
+  if (unreserved > 0) totals.record(totalRequestsPerS, nowMs);
+  reports.forEach(({ totalsRequestsPerS }, i) => {
+    if (totalsRequestsPerS?.has(organisationId)) return;
+    reportFractions[i] /= totalRequestsPerS;
+  });
+  const ownFraction = ownRequestsPerS / totalRequestsPerS;
+  return { ownFraction, othersRequestsPerS, reportFractions };
 }
 
 /** Keeps the totals as of each report that has just become stale. */
--- a/src/core/limits/quotas.ts
+++ b/src/core/limits/quotas.ts
@@ -15,6 +15,10 @@
  * Without this rule, a random burst at one host would be refused although the
  * organisation is within its rate.
  *
+ * Shares move with the demand, but what a host has admitted stays in the
+ * window. While a host has used more than its present share, the others divide
+ * only the rest.
+ *
  * `configure` and `setPeers` set the organisations and the other hosts,
  * `admit` decides on each request, `update` recomputes the shares, and
  * `reportDemands` returns what the other hosts pass to `recordPeerDemands` or
@@ -44,6 +48,7 @@
   timeToNextTokenMs,
   type TokenBucket,
 } from "./token_bucket.ts";
+import { computeUsableFraction, type WindowUse } from "./window_division.ts";
 
 /** Fraction of a rate that is divided evenly over the hosts as fixed shares. */
 const FIXED_SHARE_FRACTION = 0.2;
@@ -129,6 +134,11 @@
   readonly meter: DemandMeter;
   /** Fraction of the organisation's rate that this host may admit. */
   share: number;
+  /**
+   * Fraction of the share that may be used, as other hosts have used more than
+   * theirs.
+   */
+  usableFraction: number;
   /** Demand in this host's last report. */
   reportedRequestsPerS: number;
   /** Demand at all hosts as of the last update. */
@@ -283,9 +293,12 @@
     const reportingHostCount = countHosts(
       selected.filter(isReceivedWithin(ISOLATION_TIMEOUT_MS)),
     );
-    const currentReports = selected.filter(
-      isReceivedWithin(RECLAIM_TIMEOUT_MS),
-    );
+    const isCurrent = isReceivedWithin(RECLAIM_TIMEOUT_MS);
+    const currentReports = selected.filter(isCurrent);
+    const allReports = [
+      ...currentReports,
+      ...selected.filter((report) => !isCurrent(report)),
+    ];
     this.#hasQuorum = 2 * (reportingHostCount + 1) > hostCount;
     reserveStaleShares(currentReports, this.#quotas, nowMs);
     this.#hasStaleReport = currentReports.some((report) =>
@@ -293,7 +306,7 @@
     );
     for (const [id, quota] of this.#quotas) {
       quota.meter.update(nowMs);
-      const { ownFraction, othersRequestsPerS } = divideDemand(
+      const division = divideDemand(
         {
           organisationId: id,
           reportedRequestsPerS: quota.reportedRequestsPerS,
@@ -303,13 +316,56 @@
         nowMs,
       );
       quota.fleetRequestsPerS = quota.meter.peakRequestsPerS +
-        othersRequestsPerS;
+        division.othersRequestsPerS;
       quota.share = FIXED_SHARE_FRACTION / hostCount +
-        (this.#hasQuorum ? (1 - FIXED_SHARE_FRACTION) * ownFraction : 0);
+        (this.#hasQuorum
+          ? (1 - FIXED_SHARE_FRACTION) * division.ownFraction
+          : 0);
+      quota.usableFraction = computeUsableFraction(
+        {
+          ownShare: quota.share,
+          limit: this.#computeFleetWindowLimit(quota.organisation),
+        },
+        allReports.map((report, i) =>
+          this.#findWindowUse(
+            quota.organisation,
+            { report, fraction: division.reportFractions[i] ?? 0 },
+            nowMs,
+          )
+        ),
+      );
       resize(quota.bucket, this.#computeBucketLimits(quota, nowMs), nowMs);
     }
   }
 
+  /**
+   * Returns what the hosts that a report covers have used of the window.
+   *
+   * @param options `fraction`: their fraction of the floating share.
+   */
+  #findWindowUse(
+    organisation: Organisation,
+    { report, fraction }: { report: DemandReport; fraction: number },
+    nowMs: number,
+  ): WindowUse {
+    const fixedShare = FIXED_SHARE_FRACTION * report.hostCount /
+      (this.#reports.peerCount + 1);
+    const share = fixedShare + (1 - FIXED_SHARE_FRACTION) * fraction;
+    const admitted = report.demands.get(organisation.id)?.admitted ?? 0;
+    if (!isStale(report, nowMs)) return { admitted, share, isFixed: false };
+    // A silent host may have used all of its share since its last report.
+    const isWindowOver = nowMs - report.receivedMs >
+      ISOLATION_TIMEOUT_MS + this.#bounds.windowMs;
+    return {
+      admitted: Math.max(
+        isWindowOver ? 0 : admitted,
+        share * this.#computeFleetWindowLimit(organisation),
+      ),
+      share,
+      isFixed: true,
+    };
+  }
+
   /**
    * Returns this host's demand by organisation, to be sent to the other
    * hosts. This host's shares are computed from the demand that was returned
@@ -350,6 +406,7 @@
       ),
       meter: new DemandMeter(nowMs),
       share,
+      usableFraction: 1,
       reportedRequestsPerS: 0,
       fleetRequestsPerS: 0,
       totals: new DemandHistory(),
@@ -411,10 +468,12 @@
   }
 
   /** Returns the requests that this host may admit in a window. */
-  #computeHostWindowLimit({ organisation, share }: Quota): number {
+  #computeHostWindowLimit(
+    { organisation, share, usableFraction }: Quota,
+  ): number {
     return Math.max(
       MIN_LIMIT_REQUESTS,
-      this.#computeFleetWindowLimit(organisation) * share,
+      this.#computeFleetWindowLimit(organisation) * share * usableFraction,
     );
   }
 
--- a/src/core/limits/quotas_test.ts
+++ b/src/core/limits/quotas_test.ts
@@ -254,6 +254,51 @@
   });
 });
 
+// Guards against shares that move while their former use is still in the window.
+test("no window exceeds the limit when requests move to other hosts", () => {
+  const movesAt = (
+    atMs: number,
+    { before, after }: { before: number; after: number },
+  ): Scenario => ({
+    hosts: 9,
+    ratePerS: 60,
+    requestsPerS: (nowMs) => nowMs > atMs ? after : before,
+    hostFraction: (i, nowMs) =>
+      i === 0 ? (nowMs > atMs ? 0 : 1) : (nowMs > atMs ? 1 / 8 : 0),
+  });
+  assertWindows({
+    "from one host, within the rate": movesAt(10_000, {
+      before: 55,
+      after: 600,
+    }),
+    "from one host, beyond the rate": movesAt(10_000, {
+      before: 300,
+      after: 600,
+    }),
+    "one way": {
+      ...movesAt(15_000, { before: 300, after: 600 }),
+      // The others no longer hear host 0, which still hears them.
+      receives: (from, _to, nowMs) => nowMs < 14_000 || from !== 0,
+    },
+    "one way for all": {
+      hosts: 9,
+      ratePerS: 60,
+      requestsPerS: () => 400,
+      hostFraction: evenly(9),
+      receives: (from, to, nowMs) => nowMs < 5_000 || from >= 3 || to < 3,
+    },
+    "a cut that ends while requests move": {
+      hosts: 9,
+      ratePerS: 60,
+      requestsPerS: () => 500,
+      hostFraction: (i, nowMs) =>
+        (nowMs < 18_000) === i < 3 ? 0.9 / 3 : 0.1 / 6,
+      receives: (from, to, nowMs) =>
+        nowMs < 10_000 || nowMs >= 18_000 || from < 3 === to < 3,
+    },
+  });
+});
+
 // Guards against refusals within the rate. Requests within the rate should be
 // served; random bursts may cause one refusal in a hundred at 80% of the rate.
 test("an organisation within its rate is rarely refused", () => {
