--- a/src/core/limits/quotas_test.ts
+++ b/src/core/limits/quotas_test.ts
@@ -28,8 +28,22 @@
   readonly zones?: number;
   /** Whether host `to` receives the reports of host `from`. */
   readonly receives?: (from: number, to: number, nowMs: number) => boolean;
+  /** A time for which some hosts stand still. */
+  readonly pause?: Pause;
 }
 
+/** What hosts are sent meanwhile waits for them. */
+interface Pause {
+  readonly hosts: number;
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** Whether the hosts' steady clock stands still too. */
+  readonly isSuspension: boolean;
+}
+
+/** Time after which a caller gives up a request that was not answered. */
+const CALLER_TIMEOUT_MS = 2_000;
+
 /**
  * Simulates 30 s. Returns the times of the admitted requests and the number
  * of refused ones.
@@ -58,16 +72,49 @@
   let quotas = startHosts(0);
   const admittedMs: number[] = [];
   let refused = 0;
+  const { pause } = scenario;
+  const isPaused = (i: number, nowMs: number) =>
+    pause !== undefined && i < pause.hosts &&
+    nowMs >= pause.fromMs && nowMs < pause.toMs;
+  /** The time that a host knows. */
+  const clockMs = (i: number, nowMs: number) =>
+    pause?.isSuspension && i < pause.hosts && nowMs >= pause.toMs
+      ? nowMs - pause.toMs + pause.fromMs
+      : nowMs;
+  const admit = (i: number, nowMs: number) => {
+    if (quotas[i].admit("drivers", clockMs(i, nowMs)).isAdmitted) {
+      admittedMs.push(nowMs);
+    } else refused += 1;
+  };
+  const waitingRequests: { host: number; arrivedMs: number }[] = [];
+  const waitingReports: ((nowMs: number) => void)[] = [];
+  const endPause = ({ toMs }: Pause) => {
+    for (const { host, arrivedMs } of waitingRequests) {
+      if (toMs - arrivedMs < CALLER_TIMEOUT_MS) admit(host, toMs);
+    }
+    waitingReports.forEach((record) => record(toMs));
+  };
   for (let nowMs = 0; nowMs < 30_000; nowMs += 10) {
     if (scenario.restartsMs?.includes(nowMs)) quotas = startHosts(nowMs);
-    if (nowMs % 100 === 0) quotas.forEach((host) => host.update(nowMs));
+    if (pause?.toMs === nowMs) endPause(pause);
+    if (nowMs % 100 === 0) {
+      quotas.forEach((host, i) => {
+        if (!isPaused(i, nowMs)) host.update(clockMs(i, nowMs));
+      });
+    }
     if (nowMs % REPORT_INTERVAL_MS === 0) {
-      const reports = quotas.map((host) => host.reportDemands(nowMs));
+      const reports = quotas.map((host, i) =>
+        isPaused(i, nowMs) ? undefined : host.reportDemands(clockMs(i, nowMs))
+      );
       quotas.forEach((receiver, to) =>
         reports.forEach((report, from) => {
+          if (report === undefined) return;
           if (from === to || !isSameZone(from, to)) return;
           if (scenario.receives?.(from, to, nowMs) === false) return;
-          receiver.recordPeerDemands(ids[from], report, nowMs);
+          const record = (atMs: number) =>
+            receiver.recordPeerDemands(ids[from], report, clockMs(to, atMs));
+          if (isPaused(to, nowMs)) waitingReports.push(record);
+          else record(nowMs);
         })
       );
     }
@@ -94,9 +141,9 @@
         scenario.hostFraction(i, nowMs) * 0.01;
       for (let n = 0; n < 20; n++) {
         if (random() >= meanRequests / 20) continue;
-        if (quotas[i].admit("drivers", nowMs).isAdmitted) {
-          admittedMs.push(nowMs);
-        } else refused += 1;
+        if (isPaused(i, nowMs)) {
+          waitingRequests.push({ host: i, arrivedMs: nowMs });
+        } else admit(i, nowMs);
       }
     }
   }
@@ -130,6 +177,16 @@
 
 const evenly = (hosts: number) => () => 1 / hosts;
 
+/** Nine tenths of the requests arrive at three of nine hosts, or at the others. */
+function mostlyAtFirstThree(
+  isAtFirstThree: (nowMs: number) => boolean,
+): Scenario["hostFraction"] {
+  return (i, nowMs) => {
+    const fraction = isAtFirstThree(nowMs) === i < 3 ? 0.9 : 0.1;
+    return fraction / (i < 3 ? 3 : 6);
+  };
+}
+
 /** Checks that the requests of no window exceed the limit. */
 function assertWindows(scenarios: Record<string, Scenario>): void {
   for (const [name, scenario] of Object.entries(scenarios)) {
@@ -254,6 +311,44 @@
   });
 });
 
+// Guards against hosts that stand still and then go on with the share, the
+// reports and the requests that waited for them, while the others have used the
+// rate.
+for (const isSuspension of [false, true]) {
+  const name = isSuspension ? "are suspended" : "stand still";
+  test(`no window exceeds the limit when hosts ${name}`, () => {
+    const scenarios = [1, 3].flatMap((hosts) =>
+      [2_000, 4_000, 9_000].map((pauseMs): [string, Scenario] => [
+        `${hosts} hosts for ${pauseMs} ms`,
+        {
+          hosts: 9,
+          ratePerS: 60,
+          requestsPerS: (nowMs) => nowMs > 10_500 ? 400 : 40,
+          hostFraction: evenly(9),
+          pause: {
+            hosts,
+            fromMs: 10_000,
+            toMs: 10_000 + pauseMs,
+            isSuspension,
+          },
+        },
+      ])
+    );
+    assertWindows({
+      ...Object.fromEntries(scenarios),
+      "the hosts with most requests, until others have their share": {
+        hosts: 9,
+        ratePerS: 60,
+        requestsPerS: () => 800,
+        hostFraction: mostlyAtFirstThree((nowMs) =>
+          nowMs < 10_000 || nowMs > 23_800
+        ),
+        pause: { hosts: 3, fromMs: 10_000, toMs: 24_000, isSuspension },
+      },
+    });
+  });
+}
+
 // Guards against shares that move while their former use is still in the window.
 test("no window exceeds the limit when requests move to other hosts", () => {
   const movesAt = (
@@ -291,8 +386,7 @@
       hosts: 9,
       ratePerS: 60,
       requestsPerS: () => 500,
-      hostFraction: (i, nowMs) =>
-        (nowMs < 18_000) === i < 3 ? 0.9 / 3 : 0.1 / 6,
+      hostFraction: mostlyAtFirstThree((nowMs) => nowMs < 18_000),
       receives: (from, to, nowMs) =>
         nowMs < 10_000 || nowMs >= 18_000 || from < 3 === to < 3,
     },
