Keep the count of unreported requests in a module of its own

A host without other reports keeps recording its fraction, which is all, so that a fleet of one host does not fall back to a fraction of an earlier time.

--- a/src/core/limits/demand_shares.ts
+++ b/src/core/limits/demand_shares.ts
@@ -72,7 +72,7 @@
     reportFractions[i] += demands.get(organisationId)?.reservedFraction ?? 0;
   });
   let ownFraction = ownRequestsPerS / totalRequestsPerS;
-  if (sumRequestsPerS > ownRequestsPerS) {
+  if (reports.length === 0 || sumRequestsPerS > ownRequestsPerS) {
     ownFractions.record(ownFraction, nowMs);
   } else {
     // All others are silent. What they leave would be a small difference of
--- a/src/core/limits/quotas.ts
+++ b/src/core/limits/quotas.ts
@@ -53,6 +53,7 @@
   timeToNextTokenMs,
   type TokenBucket,
 } from "./token_bucket.ts";
+import { UnreportedRequests } from "./unreported_requests.ts";
 import { computeUsableFraction, type WindowUse } from "./window_division.ts";
 
 /** Fraction of a rate that is divided evenly over the hosts as fixed shares. */
@@ -72,31 +73,6 @@
  * those of single hosts.
  */
 const ZONED_EXCEED_SHARE_BELOW_FRACTION = 0.65;
-/**
- * Bounds on the requests that a host admits beyond its share and that the other
- * hosts do not know of yet. Without them, requests that arrive at many hosts at
- * once would each be admitted in the room that all hosts see.
- */
-interface UnreportedBounds {
-  /** Time after which the other hosts know of an admitted request. */
-  readonly windowMs: number;
-  /** Requests in that time that are permitted always. */
-  readonly minRequests: number;
-  /** Ratio to the demand that the host has reported. */
-  readonly demandRatio: number;
-}
-
-/** Hosts report each 250 ms and recompute their shares each 100 ms. */
-const UNREPORTED_BOUNDS: UnreportedBounds = {
-  windowMs: 500,
-  minRequests: 1,
-  demandRatio: 1.5,
-};
-const ZONED_UNREPORTED_BOUNDS: UnreportedBounds = {
-  windowMs: 1_000,
-  minRequests: 4,
-  demandRatio: 2.5,
-};
 /**
  * Lower bound of a host's bucket capacity and window limit. With less than one
  * request, a host with a small share would refuse all requests.
@@ -133,9 +109,7 @@
   /** Requests that were admitted in the last window. */
   readonly window: SlidingWindowCounter;
   /** Admitted requests that other hosts may not know of yet. */
-  readonly unreported: SlidingWindowCounter;
-  /** The same for other zones. */
-  readonly zoneUnreported: SlidingWindowCounter;
+  readonly unreported: UnreportedRequests;
   readonly meter: DemandMeter;
   /** Fraction of the organisation's rate that this host may admit. */
   share: number;
@@ -277,12 +251,11 @@
   refund(organisationId: string, nowMs: number): void {
     const quota = this.#quotas.get(organisationId);
     if (quota === undefined) return;
-    const { bucket, window, unreported, zoneUnreported } = quota;
+    const { bucket, window, unreported } = quota;
     refill(bucket, nowMs);
     bucket.tokens = Math.min(bucket.capacity, bucket.tokens + 1);
-    for (const counter of [window, unreported, zoneUnreported]) {
-      counter.removeLatest(nowMs);
-    }
+    window.removeLatest(nowMs);
+    unreported.removeLatest(nowMs);
   }
 
   /**
@@ -445,11 +418,7 @@
       organisation,
       bucket,
       window: new SlidingWindowCounter(this.#bounds.windowMs, nowMs),
-      unreported: new SlidingWindowCounter(UNREPORTED_BOUNDS.windowMs, nowMs),
-      zoneUnreported: new SlidingWindowCounter(
-        ZONED_UNREPORTED_BOUNDS.windowMs,
-        nowMs,
-      ),
+      unreported: new UnreportedRequests(nowMs),
       meter: new DemandMeter(nowMs),
       share,
       usableFraction: 1,
@@ -485,14 +454,12 @@
         : demand.admitted + demand.requestsPerS * ageMs / 1_000;
     }
     if (admitted >= maxAdmitted) return false;
-    const [bounds, unreported] = this.#reports.hasZones
-      ? [ZONED_UNREPORTED_BOUNDS, quota.zoneUnreported]
-      : [UNREPORTED_BOUNDS, quota.unreported];
-    return unreported.count(nowMs) < Math.max(
-      bounds.minRequests,
-      bounds.demandRatio * quota.reportedRequestsPerS * bounds.windowMs / 1_000,
-      (maxAdmitted - admitted) / (this.#reports.peerCount + 1),
-    );
+    return quota.unreported.hasRoom({
+      reportedRequestsPerS: quota.reportedRequestsPerS,
+      evenRoomRequests: (maxAdmitted - admitted) /
+        (this.#reports.peerCount + 1),
+      hasZones: this.#reports.hasZones,
+    }, nowMs);
   }
 
   /**
@@ -539,11 +506,7 @@
 }
 
 /** Counts an admitted request. */
-function countAdmitted(
-  { window, unreported, zoneUnreported }: Quota,
-  nowMs: number,
-): void {
-  for (const counter of [window, unreported, zoneUnreported]) {
-    counter.add(nowMs);
-  }
+function countAdmitted({ window, unreported }: Quota, nowMs: number): void {
+  window.add(nowMs);
+  unreported.add(nowMs);
 }
