--- a/src/core/limits/quotas.ts
+++ b/src/core/limits/quotas.ts
@@ -113,11 +113,13 @@
   readonly meter: DemandMeter;
   /** Fraction of the organisation's rate that this host may admit. */
   share: number;
+  /** Fractions of the floating share of other hosts, by `#divided`. */
+  reportFractions: readonly number[];
   /**
    * Fraction of the share that may be used, as other hosts have used more than
-   * theirs.
+   * theirs; `undefined` until it is needed after an update.
    */
-  usableFraction: number;
+  usableFraction: number | undefined;
   /** Demand in this host's last report. */
   reportedRequestsPerS: number;
   /** Demand at all hosts as of the last update. */
@@ -148,6 +150,8 @@
   #hasQuorum = false;
   /** Whether a host that still has its share is silent. */
   #hasStaleReport = false;
+  /** Reports by which the last update divided the rates; expired ones last. */
+  #divided: readonly DemandReport[] = [];
   /** Time until which this host never exceeds its share. */
   readonly #strictUntilMs: number;
 
@@ -226,7 +230,7 @@
       countAdmitted(quota, nowMs);
       return ADMITTED;
     }
-    if (window.count(nowMs) + 1 > this.#computeHostWindowLimit(quota)) {
+    if (window.count(nowMs) + 1 > this.#computeHostWindowLimit(quota, nowMs)) {
       // Tokens that accrue while the window is full would permit a burst
       // as soon as it has room.
       refill(bucket, nowMs);
@@ -274,7 +278,7 @@
     );
     const isCurrent = isReceivedWithin(RECLAIM_TIMEOUT_MS);
     const currentReports = selected.filter(isCurrent);
-    const allReports = [
+    this.#divided = [
       ...currentReports,
       ...selected.filter((report) => !isCurrent(report)),
     ];
@@ -301,19 +305,8 @@
         (this.#hasQuorum
           ? (1 - FIXED_SHARE_FRACTION) * division.ownFraction
           : 0);
-      quota.usableFraction = computeUsableFraction(
-        {
-          ownShare: quota.share,
-          limit: this.#computeFleetWindowLimit(quota.organisation),
-        },
-        allReports.map((report, i) =>
-          this.#findWindowUse(
-            quota.organisation,
-            { report, fraction: division.reportFractions[i] ?? 0 },
-            nowMs,
-          )
-        ),
-      );
+      quota.reportFractions = division.reportFractions;
+      quota.usableFraction = undefined;
       resize(quota.bucket, this.#computeBucketLimits(quota, nowMs), nowMs);
     }
   }
@@ -421,7 +414,8 @@
       unreported: new UnreportedRequests(nowMs),
       meter: new DemandMeter(nowMs),
       share,
-      usableFraction: 1,
+      reportFractions: [],
+      usableFraction: undefined,
       reportedRequestsPerS: 0,
       fleetRequestsPerS: 0,
       totals: new RecentValues(),
@@ -482,12 +476,19 @@
   }
 
   /** Returns the requests that this host may admit in a window. */
-  #computeHostWindowLimit(
-    { organisation, share, usableFraction }: Quota,
-  ): number {
+  #computeHostWindowLimit(quota: Quota, nowMs: number): number {
+    const { organisation, share: ownShare, reportFractions } = quota;
+    const limit = this.#computeFleetWindowLimit(organisation);
+    quota.usableFraction ??= computeUsableFraction(
+      { ownShare, limit },
+      this.#divided.map((report, i) => {
+        const fraction = reportFractions[i] ?? 0;
+        return this.#findWindowUse(organisation, { report, fraction }, nowMs);
+      }),
+    );
     return Math.max(
       MIN_LIMIT_REQUESTS,
-      this.#computeFleetWindowLimit(organisation) * share * usableFraction,
+      limit * ownShare * quota.usableFraction,
     );
   }
 
