--- a/src/core/limits/quotas.ts
+++ b/src/core/limits/quotas.ts
@@ -21,8 +21,8 @@
  *
  * `configure` and `setPeers` set the organisations and the other hosts,
  * `admit` decides on each request, `update` recomputes the shares, and
- * `reportDemands` returns what the other hosts pass to `recordPeerDemands` or
- * `recordZoneDemands`.
+ * `reportDemands` and `reportZoneDemands` return what the other hosts pass to
+ * `recordPeerDemands` or `recordZoneDemands`.
  *
  * @module
  */
@@ -113,7 +113,7 @@
   readonly meter: DemandMeter;
   /** Fraction of the organisation's rate that this host may admit. */
   share: number;
-  /** Fractions of the floating share of other hosts, by `#divided`. */
+  /** Fractions of the floating share of other hosts, in order of `#divided`. */
   reportFractions: readonly number[];
   /**
    * Fraction of the share that may be used, as other hosts have used more than
